relay: refuse requests with a Transfer-Encoding, whose bodies passed as requests

Suspects before the code: (a) the intake answers before it has read a body and the rest is read as a request: ruled out if the duplicates come on connections whose lengths agree; (b) two lengths on one request: ruled out if no such request comes in; (c) a frame of /receive-many that an endpoint reads otherwise than the relay: ruled out if the inner id came in on a client's connection of its own.

Evidence: the captured packets hold 20 connections with one POST that bears both Content-Length and Transfer-Encoding: chunked, a body of "0", an empty line and a whole second POST. The relay answered each with 202 and sent the inner message on. No duplicate came any other way, which rules out (a) and (c).

Fault: net/http follows Transfer-Encoding, as it must, and deletes Content-Length, so serveAPI cannot see that there were two. No client of the protocol uses a transfer coding, so all are answered 411 and the connection ends: what follows on it is never read. The test fails without the change (two answers 202, the outer message goes out) and passes with it.

--- a/internal/relay/intake.go
+++ b/internal/relay/intake.go
@@ -40,7 +40,22 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /up", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("POST /api", r.serveAPI)
-	return mux
+	return framed(mux)
+}
+
+// framed lets through only requests whose length Content-Length tells, as every client's
+// does. Where a Transfer-Encoding stands beside it, net/http follows that and hides the
+// other: what the sender's side holds to be the rest of the body would be read as the next
+// request. The connection ends with the answer, for nobody knows where the next one begins.
+func framed(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		if len(req.TransferEncoding) > 0 {
+			w.Header().Set("Connection", "close")
+			http.Error(w, "Transfer-Encoding is not accepted", http.StatusLengthRequired)
+			return
+		}
+		next.ServeHTTP(w, req)
+	})
 }
 
 func (r *Relay) serveAPI(w http.ResponseWriter, req *http.Request) {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -304,6 +304,39 @@
 	c.answer <- 200
 }
 
+// Guards against a message that stands in the body of another: a peer tells the body's length
+// twice, and the relay believes the shorter one.
+func TestBodyIsNeverTakenForARequest(t *testing.T) {
+	calls := make(chan *seen, 10)
+	r := startRelay(t, newPlatform(t, at("s-1", fakeHost(t, "a", calls), "taller")), nil)
+	post := func(id, framing, body string) string {
+		return "POST /api HTTP/1.1\r\nHost: api.internal\r\nX-Request-Id: " + id + "\r\nX-Class: payment\r\n" +
+			"X-Deadline-Ms: 9000\r\nX-Addressing: dest=7\r\n" + framing + "\r\n\r\n" + body
+	}
+	inner := post("inner", "Content-Length: 0", "")
+	for _, coding := range []string{"chunked", "Chunked", "chunked\r\nTransfer-Encoding: chunked", "identity"} {
+		body := "0\r\n\r\n" + inner
+		framing := fmt.Sprintf("Content-Length: %d\r\nTransfer-Encoding: %s", len(body), coding)
+		conn, err := net.Dial("tcp", r.Addr())
+		if err != nil {
+			t.Fatal(err)
+		}
+		conn.SetReadDeadline(time.Now().Add(20 * time.Second))
+		fmt.Fprint(conn, post("outer", framing, body))
+		said, _ := io.ReadAll(conn) // the relay ends the connection
+		conn.Close()
+		if n := strings.Count(string(said), "HTTP/1.1 "); n != 1 || !strings.HasPrefix(string(said), "HTTP/1.1 4") &&
+			!strings.HasPrefix(string(said), "HTTP/1.1 5") {
+			t.Errorf("%q: answered %q, want one error", coding, said)
+		}
+	}
+	status, _ := hand(t, r.Addr(), "m1", "payment")
+	want(t, "status of a sound one", status, 202)
+	c := wait(t, calls, "call")
+	want(t, "id of the only call", c.id, "m1")
+	c.answer <- 200
+}
+
 // Guards against taking on more than the settings allow, and against a refusal that says not when to come again.
 func TestFullRelayRefuses(t *testing.T) {
 	r := startRelay(t, newPlatform(t, at("s-1", fakeHost(t, "a", make(chan *seen, 10)), "taller")),
