relay: on SIGHUP follow discovery to its new address instead of ending

The address now stands in one place. Reload reads it from the file, which wins over the older environment; the call that is out ends, the whole list is asked for at the new address, and notices go there too. A file that cannot be read, or that names no address, is logged and changes nothing. The test runs the program; without the handler the process is gone before the second signal.

--- a/cmd/larchrouter/main.go
+++ b/cmd/larchrouter/main.go
@@ -31,6 +31,8 @@
 	}
 	stop := make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
 	r, err := relay.New(conf)
 	if err != nil {
 		return err
@@ -40,6 +42,15 @@
 		slog.Info("stopping", "signal", s.String())
 		r.Drain()
 	}()
+	go func() {
+		for range reload {
+			if err := r.Reload(os.Getenv); err != nil {
+				slog.Error("configuration not taken up", "err", err)
+				continue
+			}
+			slog.Info("configuration taken up")
+		}
+	}()
 	slog.Info("serving", "addr", r.Addr())
 	r.Serve()
 	slog.Info("stopped")
--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net"
 	"os"
 	"strconv"
 
@@ -78,3 +79,23 @@
 	}
 	return c, nil
 }
+
+// readDiscovery reads discovery's address from a configuration that was replaced while the
+// relay runs. The environment is as old as the process, so here the file wins.
+func readDiscovery(env func(string) string) (string, error) {
+	path := env("BALANCER_CONFIG")
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return "", fmt.Errorf("BALANCER_CONFIG: %w", err)
+	}
+	var f struct {
+		Discovery string `json:"discovery"`
+	}
+	if err := json.Unmarshal(data, &f); err != nil {
+		return "", fmt.Errorf("%s: %w", path, err)
+	}
+	if _, _, err := net.SplitHostPort(f.Discovery); err != nil {
+		return "", fmt.Errorf("%s: discovery: %w", path, err)
+	}
+	return f.Discovery, nil
+}
--- a/internal/relay/discovery.go
+++ b/internal/relay/discovery.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net/http"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -46,6 +47,51 @@
 	longPause  = time.Second
 )
 
+// platformAt is where discovery and the taker of notices are. It may change while the relay runs.
+type platformAt struct {
+	mu    sync.Mutex
+	addr  string
+	valid context.Context // ends when the address changes
+	end   context.CancelFunc
+}
+
+func newPlatformAt(addr string) *platformAt {
+	p := &platformAt{}
+	p.set(addr)
+	return p
+}
+
+// get returns the address, and a context that ends when it no longer holds.
+func (p *platformAt) get() (addr string, valid context.Context) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.addr, p.valid
+}
+
+func (p *platformAt) set(addr string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.end != nil {
+		p.end()
+	}
+	p.addr = addr
+	p.valid, p.end = context.WithCancel(context.Background())
+}
+
+// Reload takes up discovery's address from a configuration that was replaced. On an error the
+// old address stands.
+func (r *Relay) Reload(env func(string) string) error {
+	addr, err := readDiscovery(env)
+	if err != nil {
+		return err
+	}
+	if old, _ := r.discovery.get(); addr != old {
+		r.discovery.set(addr)
+		r.platform.CloseIdleConnections()
+	}
+	return nil
+}
+
 // follow watches discovery until the context ends. The list counts as told
 // while the next call comes within 200 ms of the last answer, so a watch is
 // renewed at once; only failures are followed by a pause.
@@ -53,14 +99,20 @@
 	full := true // the known list may be old
 	pause := firstPause
 	for ctx.Err() == nil {
-		l, err := r.ask(ctx, version, full)
+		addr, valid := r.discovery.get()
+		l, err := r.ask(ctx, valid, addr, version, full)
 		if ctx.Err() != nil {
 			return
 		}
+		if valid.Err() != nil { // what the old address said last may be older than what the new one says
+			full, pause = true, firstPause
+			continue
+		}
 		if err != nil {
 			slog.Warn("discovery does not answer", "err", err)
 			select {
 			case <-ctx.Done():
+			case <-valid.Done():
 			case <-time.After(pause):
 			}
 			pause = min(2*pause, longPause)
@@ -79,8 +131,9 @@
 	}
 }
 
-func (r *Relay) ask(ctx context.Context, version int64, full bool) (l list, err error) {
-	url := "http://" + r.conf.Discovery + "/discovery/hosts"
+// ask makes one call, which ends at the latest when the address is no longer valid.
+func (r *Relay) ask(ctx, valid context.Context, addr string, version int64, full bool) (l list, err error) {
+	url := "http://" + addr + "/discovery/hosts"
 	limit := watchSlack
 	if !full {
 		url = fmt.Sprintf("%s?since=%d&timeout_ms=%d", url, version, watchFor.Milliseconds())
@@ -88,6 +141,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
+	defer context.AfterFunc(valid, cancel)()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return l, err
--- a/internal/relay/notices.go
+++ b/internal/relay/notices.go
@@ -86,7 +86,8 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, noticeIn)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+r.conf.Discovery+"/status", &body)
+	addr, _ := r.discovery.get()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/status", &body)
 	if err != nil {
 		return err
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -53,12 +53,14 @@
 	listener *peers
 	hostSide *http.Transport
 	platform *http.Client
-	calls    context.Context
-	endCalls context.CancelCauseFunc
-	inbox    chan func()
-	notices  chan notice
-	quit     chan struct{}
-	once     sync.Once
+	// discovery is where platform's requests go.
+	discovery *platformAt
+	calls     context.Context
+	endCalls  context.CancelCauseFunc
+	inbox     chan func()
+	notices   chan notice
+	quit      chan struct{}
+	once      sync.Once
 
 	chooser *choice.Chooser
 	journal *journal
@@ -81,7 +83,7 @@
 // New replays the journal and listens; Serve does the rest.
 func New(conf Config) (*Relay, error) {
 	set := conf.Settings
-	r := &Relay{conf: conf, set: set, began: time.Now(), held: map[string]*message{}, hosts: map[string]*host{},
+	r := &Relay{conf: conf, set: set, discovery: newPlatformAt(conf.Discovery), began: time.Now(), held: map[string]*message{}, hosts: map[string]*host{},
 		dests: map[int]bool{}, inbox: make(chan func(), 1024), notices: make(chan notice, 2*maxOwed),
 		quit: make(chan struct{}), wake: time.NewTimer(time.Hour)}
 	idle := set.IdleConn - min(500*time.Millisecond, set.IdleConn/4)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -621,6 +621,36 @@
 	}
 }
 
+// Guards against a relay that ends on SIGHUP, or goes on with the address that the platform gave up. A
+// configuration that cannot be read changes nothing.
+func TestSIGHUP(t *testing.T) {
+	calls := make(chan *seen, 10)
+	host := at("s-1", fakeHost(t, "a", calls), "taller")
+	old, moved := newPlatform(t, host), newPlatform(t, host)
+	cmd, addr := process(t, old, t.TempDir())
+	up(t, addr)
+	var path string
+	for _, v := range cmd.Env {
+		if p, ok := strings.CutPrefix(v, "BALANCER_CONFIG="); ok {
+			path = p
+		}
+	}
+	for _, data := range [][]byte{[]byte("{"), testConfig(t, moved)} {
+		if err := os.WriteFile(path, data, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if err := cmd.Process.Signal(syscall.SIGHUP); err != nil {
+			t.Fatal(err)
+		}
+		up(t, addr)
+	}
+	want(t, "first query at the new address", wait(t, moved.asked, "query"), "")
+	want(t, "next one", strings.HasPrefix(wait(t, moved.asked, "query"), "since=1&"), true)
+	hand(t, addr, "m1", "payment")
+	wait(t, calls, "call").answer <- 500
+	want(t, "notice", wait(t, moved.notices, "notice"), notice{"m1", undeliverable, 0})
+}
+
 // Guards against a late notice for what ran out of time while the relay was down.
 func TestExpiredIsToldAtOnce(t *testing.T) {
 	for _, c := range []struct {
