relay: pass on the limits told in X-Load, which the decisions never heard

Evidence: answers on the wire hold "X-Load: {x0, x1}", and x1 is the limit in calls a second. The adapter hands it to the module with each outcome. In the relay nothing reads the header: choice.Result went out of Relay.ended without Report, so the module kept to the list's rate, which is up to half too low.

Change: calls.go reads the fields that the settings name, and ended passes them on; a report that cannot be read is none. The test fails without it.

--- a/internal/relay/calls.go
+++ b/internal/relay/calls.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -36,6 +37,13 @@
 	cancel  context.CancelCauseFunc
 }
 
+// told is what a call tells of its host, whatever became of the messages.
+type told struct {
+	took   time.Duration
+	wait   time.Duration // send nothing there for so long
+	report []float64     // load report, in the order of the settings; nil for none
+}
+
 // end is what a call tells of one message.
 type end struct {
 	outcome choice.Outcome
@@ -101,7 +109,7 @@
 		for _, m := range c.members {
 			if left := m.due - now; left < c.timeout {
 				time.AfterFunc(left, func() {
-					r.post(func() { r.ended(c, m, end{outcome: choice.Timeout}, left, 0) })
+					r.post(func() { r.ended(c, m, end{outcome: choice.Timeout}, told{took: left}) })
 				})
 			}
 		}
@@ -115,7 +123,7 @@
 	}
 	go func() {
 		defer cancel(nil)
-		ends, took, wait := r.exchange(ctx, c, ids)
+		ends, told := r.exchange(ctx, c, ids)
 		if errors.Is(context.Cause(ctx), errStopping) {
 			r.post(func() { r.out-- }) // no outcome: the journal has it as one that may have run
 			return
@@ -123,7 +131,7 @@
 		r.post(func() {
 			r.out--
 			for i, m := range c.members {
-				r.ended(c, m, ends[i], took, wait)
+				r.ended(c, m, ends[i], told)
 			}
 		})
 	}()
@@ -138,9 +146,9 @@
 	return fmt.Appendf(nil, "%s %s %d\r\n%s\r\n", m.ID, key, len(m.Body), m.Body)
 }
 
-// exchange makes one call and tells each member's end. Took is taken here, so
+// exchange makes one call and tells each member's end. The time it took is taken here, so
 // that no delay of the loop is learnt as latency.
-func (r *Relay) exchange(ctx context.Context, c *call, ids []string) (ends []end, took, wait time.Duration) {
+func (r *Relay) exchange(ctx context.Context, c *call, ids []string) (ends []end, t told) {
 	ctx, stop := context.WithTimeoutCause(ctx, c.timeout, errTimeout)
 	defer stop()
 	all := func(o choice.Outcome) []end {
@@ -156,15 +164,16 @@
 	for tries := 0; err != nil && never && reused && ctx.Err() == nil && !gated && tries < 3; tries++ {
 		resp, never, reused, gated, err = r.send(ctx, c, ids)
 	}
-	took = time.Since(begin)
+	t.took = time.Since(begin)
 	if err == nil {
 		defer resp.Body.Close()
 		body, rerr := io.ReadAll(io.LimitReader(resp.Body, maxBody)) // drained, so that the connection is kept
-		wait = retryAfter(resp.Header)
+		t.wait = retryAfter(resp.Header)
+		t.report = loadReport(resp.Header, r.set.ReportFields)
 		if len(ids) > 1 && resp.StatusCode == http.StatusOK {
-			took = time.Since(begin)
+			t.took = time.Since(begin)
 			if rerr == nil {
-				return batchEnds(body, ids), took, wait
+				return batchEnds(body, ids), t
 			}
 			never, err = false, rerr
 		} else {
@@ -172,20 +181,21 @@
 			for i := range ends {
 				ends[i] = single(resp, len(ids) > 1)
 			}
-			return ends, took, wait
+			return ends, t
 		}
 	}
+	t.wait, t.report = 0, nil
 	switch cause := context.Cause(ctx); {
 	case gated:
-		return all(choice.NotSent), took, 0
+		return all(choice.NotSent), t
 	case never:
-		return all(choice.NoConnection), took, 0
+		return all(choice.NoConnection), t
 	case cause == errCalled:
-		return all(choice.Cancelled), took, 0
+		return all(choice.Cancelled), t
 	case cause == errTimeout:
-		return all(choice.Timeout), took, 0
+		return all(choice.Timeout), t
 	}
-	return all(choice.Reset), took, 0
+	return all(choice.Reset), t
 }
 
 // send writes one request. On an error, never tells that its last byte
@@ -288,3 +298,21 @@
 	}
 	return time.Duration(math.Ceil(min(s, 3600)*1000)) * time.Millisecond
 }
+
+// loadReport reads what a host tells of its load, where the settings say that answers tell
+// it. A report that cannot be read is none.
+func loadReport(h http.Header, fields []string) []float64 {
+	text := h.Get("X-Load")
+	if text == "" || len(fields) == 0 {
+		return nil
+	}
+	var values map[string]float64
+	if json.Unmarshal([]byte(text), &values) != nil {
+		return nil
+	}
+	report := make([]float64, len(fields))
+	for i, name := range fields {
+		report[i] = values[name]
+	}
+	return report
+}
--- a/internal/relay/calls_test.go
+++ b/internal/relay/calls_test.go
@@ -26,7 +26,7 @@
 }
 
 func outcome(r *Relay, ctx context.Context, c *call) choice.Outcome {
-	ends, _, _ := r.exchange(ctx, c, []string{"m1"})
+	ends, _ := r.exchange(ctx, c, []string{"m1"})
 	return ends[0].outcome
 }
 
@@ -184,6 +184,27 @@
 	want(t, "end of the fifth", r.events[4].(choice.Result).Done, false)
 }
 
+// Guards against decisions that never hear the limits that hosts tell in their answers.
+func TestLoadReportReachesTheDecisions(t *testing.T) {
+	for text, want := range map[string][]float64{`{"x0":0.4,"x1":25}`: {25, 0.4}, `{"x1":3,"other":1}`: {3, 0},
+		"": nil, "{": nil, `{"x1":"many"}`: nil, "[1]": nil} {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("X-Load", text)
+		}))
+		r := caller()
+		r.set.ReportFields = []string{"x1", "x0"}
+		r.calls, r.inbox = context.Background(), make(chan func(), 1)
+		m := &message{entry: &entry{ID: "m1"}, due: time.Hour, over: true}
+		r.start(&call{host: &host{addr: s.Listener.Addr().String()}, members: []*message{m},
+			sends: []choice.Send{{ID: "m1", Timeout: 20 * time.Second}}})
+		(<-r.inbox)()
+		s.Close()
+		if got := r.events[0].(choice.Result).Report; !slices.Equal(got, want) {
+			t.Errorf("report %q is %v, want %v", text, got, want)
+		}
+	}
+}
+
 // Guards against a body over 64 KiB, which a host need not take: sends that do not fit one call go in another.
 func TestLargeMessagesDoNotShareACall(t *testing.T) {
 	r := caller()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -83,8 +83,8 @@
 // New replays the journal and listens; Serve does the rest.
 func New(conf Config) (*Relay, error) {
 	set := conf.Settings
-	r := &Relay{conf: conf, set: set, discovery: newPlatformAt(conf.Discovery), began: time.Now(), held: map[string]*message{}, hosts: map[string]*host{},
-		dests: map[int]bool{}, inbox: make(chan func(), 1024), notices: make(chan notice, 2*maxOwed),
+	r := &Relay{conf: conf, set: set, discovery: newPlatformAt(conf.Discovery), began: time.Now(),
+		held: map[string]*message{}, hosts: map[string]*host{}, dests: map[int]bool{}, inbox: make(chan func(), 1024), notices: make(chan notice, 2*maxOwed),
 		quit: make(chan struct{}), wake: time.NewTimer(time.Hour)}
 	idle := set.IdleConn - min(500*time.Millisecond, set.IdleConn/4)
 	r.hostSide = newTransport(set.DialTimeout, idle, set.Workers, conf.Sockets/4)
@@ -433,13 +433,13 @@
 }
 
 // ended takes in what became of one message's attempt.
-func (r *Relay) ended(c *call, m *message, e end, took, wait time.Duration) {
+func (r *Relay) ended(c *call, m *message, e end, t told) {
 	if m.call != c {
 		return // its own time was up before the call's
 	}
 	m.call = nil
-	r.events = append(r.events, choice.Result{ID: m.ID, Host: c.host.id, Outcome: e.outcome, Took: took, Wait: wait,
-		Done: e.done || e.outcome == choice.Served})
+	r.events = append(r.events, choice.Result{ID: m.ID, Host: c.host.id, Outcome: e.outcome, Took: t.took, Wait: t.wait,
+		Report: t.report, Done: e.done || e.outcome == choice.Served})
 	if m.over {
 		return
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -20,6 +20,7 @@
 	IdleConn      time.Duration // hosts close a connection that stood idle for so long
 	DialTimeout   time.Duration // a connection that is not up by then has failed
 	MaxRetryAfter time.Duration // clients heed no longer advice
+	ReportFields  []string      // of the load report in each answer; none where there is none
 }
 
 func seconds(f float64) time.Duration { return time.Duration(math.Round(f*1e6)) * time.Microsecond }
@@ -95,6 +96,7 @@
 		},
 	}
 	if c.LoadReport.How == "inline" {
+		s.ReportFields = c.LoadReport.Columns
 		s.ReportLimit = slices.Index(c.LoadReport.Columns, "x1")
 	}
 	for _, k := range c.Classes {
