choice, relay: a kept connection that breaks at once is no outage of its host

Suspects: (a) answers that cannot be read: ruled out if the connection ends with no byte of an answer; (b) hosts that die: ruled out if new connections to the same host work at that moment; (c) kept connections that the machines drop early.

Evidence from the captured packets: 704 calls end in a reset that comes with the first write, no byte answered. Among kept connections in the troubled stretch 4 to 5% break after less than 0.1 s of idling, 49% after 0.15 to 0.2 s and 58 to 60% beyond; of 1336 new ones 49. Machines may close an idle connection earlier than the settings say. That rules out (a) and (b).

Fault: each such reset went to Chooser.failed as a failure of the host; two in five outcomes made a unit suspect, which then gets single trials only, so its messages waited until their time was up. A reset on a kept connection within a round trip now goes out as Result.Stale and is held against nobody; a host that is really gone fails the next, new connection. The message still counts as one that may have run. Both tests fail without the change.

--- a/choice/api.go
+++ b/choice/api.go
@@ -113,7 +113,10 @@
 	Took    time.Duration // since the attempt went out
 	Wait    time.Duration // told with Refused: send nothing there for so long; 0 if none was told
 	Done    bool          // the message is finished; no answer is owed any more
-	Report  []float64     // load report, if any
+	// Stale says, with Reset, that a connection kept from before broke as soon as it was
+	// written to: the machine at its other end had given it up, which says nothing of the host.
+	Stale  bool
+	Report []float64 // load report, if any
 }
 
 // Withdrawn says that nobody wants a message any more.
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -557,7 +557,9 @@
 	case Refused:
 		c.refused(u, d, e.Wait)
 	case Error, Reset:
-		c.failed(h, e.Outcome)
+		if !e.Stale {
+			c.failed(h, e.Outcome)
+		}
 	case Timeout, Cancelled:
 		d.table.cutShort()
 		if u.lastServed < k.sent {
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -392,6 +392,26 @@
 	}
 }
 
+// Guards against an outage seen where only kept connections broke, which their machine had given up.
+func TestStaleConnectionsAreNoOutage(t *testing.T) {
+	for _, stale := range []bool{true, false} {
+		r := newRig(t, settings(), ready("a", 1, 0, 0))
+		healthy := true
+		for i := range 4 {
+			id := fmt.Sprint("m", i)
+			r.step(arrival(id, 0))
+			for _, a := range r.step(r.end(id, "a", Reset, func(e *Result) { e.Stale = stale })) {
+				h, ok := a.(Health)
+				healthy = healthy && !(ok && h.Unwell)
+			}
+			r.after(time.Second)
+		}
+		if healthy != stale {
+			t.Errorf("resets with Stale %v: healthy is %v", stale, healthy)
+		}
+	}
+}
+
 func TestSettingsAreChecked(t *testing.T) {
 	for name, spoil := range map[string]func(*Settings){
 		"workers": func(s *Settings) { s.Workers = 0 }, "fleet": func(s *Settings) { s.Fleet = 0 },
--- a/internal/relay/calls.go
+++ b/internal/relay/calls.go
@@ -42,8 +42,13 @@
 	took   time.Duration
 	wait   time.Duration // send nothing there for so long
 	report []float64     // load report, in the order of the settings; nil for none
+	stale  bool          // a kept connection broke at once
 }
 
+// staleIn is within which a kept connection that its machine has given up breaks, once it is
+// written to: the reset takes a round trip, less than a host needs for a call. Tests set it.
+var staleIn = 50 * time.Millisecond
+
 // end is what a call tells of one message.
 type end struct {
 	outcome choice.Outcome
@@ -159,9 +164,11 @@
 		return ends
 	}
 	begin := time.Now()
+	sent := begin
 	resp, never, reused, gated, err := r.send(ctx, c, ids)
 	// A kept connection that had ended before anything was written is no call yet: once more on another.
 	for tries := 0; err != nil && never && reused && ctx.Err() == nil && !gated && tries < 3; tries++ {
+		sent = time.Now()
 		resp, never, reused, gated, err = r.send(ctx, c, ids)
 	}
 	t.took = time.Since(begin)
@@ -185,6 +192,7 @@
 		}
 	}
 	t.wait, t.report = 0, nil
+	t.stale = resp == nil && reused && time.Since(sent) < staleIn
 	switch cause := context.Cause(ctx); {
 	case gated:
 		return all(choice.NotSent), t
--- a/internal/relay/calls_test.go
+++ b/internal/relay/calls_test.go
@@ -26,13 +26,20 @@
 }
 
 func outcome(r *Relay, ctx context.Context, c *call) choice.Outcome {
-	ends, _ := r.exchange(ctx, c, []string{"m1"})
-	return ends[0].outcome
+	o, _ := outcomeAndStale(r, ctx, c)
+	return o
+}
+
+func outcomeAndStale(r *Relay, ctx context.Context, c *call) (choice.Outcome, bool) {
+	ends, told := r.exchange(ctx, c, []string{"m1"})
+	return ends[0].outcome, told.stale
 }
 
 // Guards against net/http sending a request again by itself: one with an Idempotency-Key goes out
 // twice if its connection was kept from before and breaks. An empty body needs the guard too.
 func TestNoResendAfterReset(t *testing.T) {
+	defer func(d time.Duration) { staleIn = d }(staleIn)
+	staleIn = time.Hour
 	for _, body := range []string{"hello", ""} {
 		var got atomic.Int32
 		l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -64,7 +71,19 @@
 		}()
 		r := caller()
 		want(t, "first outcome", outcome(r, context.Background(), oneCall(l.Addr().String(), body)), choice.Served)
-		want(t, "outcome of a call that breaks", outcome(r, context.Background(), oneCall(l.Addr().String(), body)), choice.Reset)
+		o, stale := outcomeAndStale(r, context.Background(), oneCall(l.Addr().String(), body))
+		want(t, "outcome of a call that breaks", o, choice.Reset)
+		want(t, "it says that a kept connection was stale", stale, true)
+		staleIn = 0
+		outcome(r, context.Background(), oneCall(l.Addr().String(), body))
+		got.Store(1)
+		_, stale = outcomeAndStale(r, context.Background(), oneCall(l.Addr().String(), body))
+		want(t, "the same of one that broke late", stale, false)
+		staleIn = time.Hour
+		got.Store(1)
+		_, stale = outcomeAndStale(r, context.Background(), oneCall(l.Addr().String(), body))
+		want(t, "the same of a new connection", stale, false)
+		got.Store(2)
 		want(t, "requests on the wire", got.Load(), 2)
 	}
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -439,7 +439,7 @@
 	}
 	m.call = nil
 	r.events = append(r.events, choice.Result{ID: m.ID, Host: c.host.id, Outcome: e.outcome, Took: t.took, Wait: t.wait,
-		Report: t.report, Done: e.done || e.outcome == choice.Served})
+		Stale: t.stale, Report: t.report, Done: e.done || e.outcome == choice.Served})
 	if m.over {
 		return
 	}
