choice: what is past its tenant's share goes after what is within one

Evidence: captured answers to clients take 6 ms at most, which rules out (a).

Fault: the settings tell the mills' quotas and over-share-worth, and nothing read them: neither settings.Parse nor choice.Arrival knew a tenant, so worth() held all messages for equal. The module now keeps each tenant's share of this relay, two seconds of it saved up at most; what does not fit bears the settings' lesser worth, goes after the rest, and is given back first when the room is crowded.

--- a/choice/api.go
+++ b/choice/api.go
@@ -74,6 +74,9 @@
 	// below 0 where it is not reported.
 	ReportLimit int
 	Rules       Rules
+	Tenants     []Tenant
+	// OverShare is the worth of a message past its tenant's share, as a part of its class's.
+	OverShare float64
 }
 
 // Outcome is how an attempt ended.
@@ -102,6 +105,8 @@
 	Dest  int
 	Left  time.Duration // how long it may still be delivered
 	Key   string        // key of the order; empty for none
+	// Tenant is the place of its sender in Settings.Tenants; below 0 for one without a share.
+	Tenant int
 }
 
 // Result ends one attempt.
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -53,6 +53,7 @@
 	}
 	c.pool.width = c.bound / buckets
 	c.luck = slices.Repeat([]float64{0.5}, max(1, len(s.Kinds)))
+	c.shares = slices.Repeat([]share{{left: math.MaxInt32}}, len(s.Tenants)) // full
 	c.nap = max(s.Tick, c.minAim/glance)
 	return c, nil
 }
@@ -511,7 +512,7 @@
 func (c *Chooser) arrive(e Arrival) {
 	k := &c.set.Classes[min(max(e.Class, 0), len(c.set.Classes)-1)]
 	m := &message{Arrival: e, class: k, dest: c.dest(e.Dest), due: c.now + e.Left, unsure: -1}
-	m.born = m.due - k.Deadline
+	m.born, m.past = m.due-k.Deadline, !c.within(e.Tenant)
 	c.msgs[e.ID] = m
 	c.held++
 	c.queue(m)
@@ -642,23 +643,6 @@
 	}
 }
 
-// worth of a message if it is served at a time.
-func (c *Chooser) worth(m *message, at time.Duration) float64 {
-	k := m.class
-	if at >= m.due {
-		return 0
-	}
-	age := at - m.born
-	if age <= k.Aim {
-		return k.Worth
-	}
-	late := (age - k.Aim).Seconds()
-	if c.set.Halving {
-		return k.Worth * max(k.LateShare, math.Exp2(-late/k.Aim.Seconds()))
-	}
-	return k.Worth * (1 - (1-k.LateShare)*late/(k.Deadline-k.Aim).Seconds())
-}
-
 // answer ends messages whose time is up, and the least worth while the holding room is crowded.
 func (c *Chooser) answer() {
 	for _, d := range c.live {
@@ -827,7 +811,8 @@
 	return proven || m.class.Effect != Unsafe || m.due-c.now < m.class.Deadline/4
 }
 
-// best is the message that loses most by waiting, among those that a test lets through.
+// best is the message that loses most by waiting, among those that a test lets through; what is
+// past its tenant's share comes after all that is not.
 func (c *Chooser) best(d *dest, test func(*message) bool) *message {
 	rate := 0.0
 	for _, u := range d.units {
@@ -845,6 +830,12 @@
 			continue
 		}
 		loss := c.worth(m, c.now) - c.worth(m, c.now+wait)
+		if best != nil && m.past != best.past {
+			if m.past {
+				continue
+			}
+			most = math.Inf(-1)
+		}
 		if best == nil || loss > most || loss == most && m.due < best.due {
 			best, most = m, loss
 		}
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -5,6 +5,7 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 )
@@ -412,6 +413,43 @@
 	}
 }
 
+// Guards against a tenant that floods the relay and so takes the place of those within their shares: a
+// message of theirs goes before what waits beyond a share, and that is given back first.
+func TestPastItsShareATenantComesLast(t *testing.T) {
+	s := settings()
+	s.Workers, s.MaxHeld = 1, 20
+	s.Tenants, s.OverShare = []Tenant{{Quota: 4}, {Quota: 4}}, 0.05
+	r := newRig(t, s, ready("a", 1, 0, 0))
+	var events []Event
+	for i := range 18 {
+		events = append(events, arrival(fmt.Sprint("flood", i), 0))
+	}
+	r.step(events...)
+	r.after(3 * time.Second) // the flood is worth less by now than when it was fresh
+	var acts []Action
+	for i := range 3 {
+		m := arrival(fmt.Sprint("m", i), 0)
+		m.Tenant = 1
+		acts = append(acts, r.step(m)...)
+	}
+	if got := answers(acts); got == "" || strings.Contains(got, "refuse m") {
+		t.Errorf("answers in the crowd are %q, want some of the flood", got)
+	}
+	acts = append(r.step(r.end("flood0", "a", Served)), r.after(time.Second)...)
+	next := sends(acts)
+	// Three more of the flood are within its share; the rest is not.
+	for i := range 6 {
+		if len(next) == 0 {
+			t.Fatalf("nothing went out as number %d", i)
+		}
+		if id := next[0].ID; strings.HasPrefix(id, "flood") && !slices.Contains([]string{"flood1", "flood2", "flood3"}, id) {
+			t.Fatalf("%s went out as number %d, before what is within its share", id, i)
+		}
+		acts = append(r.step(r.end(next[0].ID, "a", Served)), r.after(time.Second)...)
+		next = sends(acts)
+	}
+}
+
 func TestSettingsAreChecked(t *testing.T) {
 	for name, spoil := range map[string]func(*Settings){
 		"workers": func(s *Settings) { s.Workers = 0 }, "fleet": func(s *Settings) { s.Fleet = 0 },
--- a/choice/state.go
+++ b/choice/state.go
@@ -25,6 +25,7 @@
 	last     *host
 	unsure   time.Duration // time of the last unsure outcome; its key rests after it
 	over     bool          // answered or withdrawn
+	past     bool          // its tenant's share was used up
 }
 
 // call is one call out; sends of one turn to one host may share it.
@@ -129,6 +130,7 @@
 	pool    table         // of all destinations together, for those that have few samples yet
 	askAt   time.Duration // ask for list changes then; below 0 for never
 	acts    []Action
+	shares  []share // by tenant
 }
 
 // remove deletes one element.
--- a/internal/relay/intake.go
+++ b/internal/relay/intake.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -99,7 +100,7 @@
 func (r *Relay) read(w http.ResponseWriter, req *http.Request, came time.Duration) (*intake, int, error) {
 	bad := func(text string) (*intake, int, error) { return nil, http.StatusBadRequest, errors.New(text) }
 	e := &entry{ID: req.Header.Get("X-Request-Id"), Class: req.Header.Get("X-Class"),
-		Key: req.Header.Get("Idempotency-Key")}
+		Key: req.Header.Get("Idempotency-Key"), Tenant: req.Header.Get("X-Tenant")}
 	if !isName(e.ID) {
 		return bad("X-Request-Id is missing or malformed")
 	}
@@ -119,6 +120,9 @@
 	if err != nil || ms <= 0 || ms > maxLeft.Milliseconds() {
 		return bad("X-Deadline-Ms is missing or malformed")
 	}
+	if len(e.Tenant) > maxName {
+		return bad("X-Tenant is too long")
+	}
 	dest, ok := destOf(req.Header.Get("X-Addressing"))
 	if !ok {
 		return bad("X-Addressing is missing or malformed")
@@ -176,7 +180,8 @@
 		m := &message{entry: in.entry, class: in.class, due: in.due, fresh: []*intake{in}}
 		r.held[id] = m
 		r.fresh = append(r.fresh, m)
-		r.events = append(r.events, choice.Arrival{ID: id, Class: in.class, Dest: in.entry.Dest, Left: in.due - r.now()})
+		r.events = append(r.events, choice.Arrival{ID: id, Class: in.class, Dest: in.entry.Dest,
+			Left: in.due - r.now(), Tenant: slices.Index(r.set.TenantNames, in.entry.Tenant)})
 	}
 }
 
--- a/internal/relay/journal.go
+++ b/internal/relay/journal.go
@@ -33,6 +33,7 @@
 	ID     string `json:"id"`
 	Class  string `json:"class"`
 	Dest   int    `json:"dest"`
+	Tenant string `json:"tenant,omitempty"`
 	Key    string `json:"key,omitempty"`
 	Due    int64  `json:"due"`
 	Body   []byte `json:"body,omitempty"`
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -12,6 +12,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -243,7 +244,8 @@
 		}
 		m := &message{entry: e, class: class, due: r.now() + ms(e.Due-wall)}
 		r.held[id] = m
-		ev := choice.Restored{Arrival: choice.Arrival{ID: id, Class: class, Dest: e.Dest, Left: ms(e.Due - wall)},
+		ev := choice.Restored{Arrival: choice.Arrival{ID: id, Class: class, Dest: e.Dest, Left: ms(e.Due - wall),
+			Tenant: slices.Index(r.set.TenantNames, e.Tenant)},
 			Attempts: e.Tries, Timeout: ms(e.Wait), Ran: e.Ran, RanAgo: ms(wall - e.RanAt), RanZone: e.Zone}
 		if e.Out && !e.Ran {
 			ev.Ran, ev.RanAgo, ev.RanZone = true, ms(wall-e.OutAt), e.OutTo
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -20,6 +20,7 @@
 	IdleConn      time.Duration // hosts close a connection that stood idle for so long
 	DialTimeout   time.Duration // a connection that is not up by then has failed
 	MaxRetryAfter time.Duration // clients heed no longer advice
+	TenantNames   []string      // in the order of Arrival.Tenant
 	ReportFields  []string      // of the load report in each answer; none where there is none
 }
 
@@ -70,9 +71,14 @@
 		OverloadFactor float64 `json:"overload-factor"`
 	} `json:"rules"`
 	Skus    []string `json:"skus"`
-	Tick    float64  `json:"tick"`
-	Weights string   `json:"weights"`
-	Zones   []string `json:"zones"`
+	Tenants []struct {
+		Name  string  `json:"name"`
+		Quota float64 `json:"quota-per-s"`
+	} `json:"tenants"`
+	OverShare float64  `json:"over-share-worth"`
+	Tick      float64  `json:"tick"`
+	Weights   string   `json:"weights"`
+	Zones     []string `json:"zones"`
 }
 
 // Parse reads the settings object.
@@ -111,6 +117,11 @@
 			Window: seconds(k.Window), Ordered: k.KeepOrder,
 		})
 	}
+	s.OverShare = c.OverShare
+	for _, t := range c.Tenants {
+		s.TenantNames = append(s.TenantNames, t.Name)
+		s.Tenants = append(s.Tenants, choice.Tenant{Quota: t.Quota})
+	}
 	for i := range c.Skus {
 		k := choice.Kind{PerCall: 1}
 		if i < len(c.Family.OwnLimits) {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -335,7 +335,7 @@
 	switch l.name {
 	case "ACCEPT":
 		return choice.Arrival{ID: l.text("op-id"), Class: l.whole("priority", false), Dest: l.whole("far-end", true),
-			Left: l.seconds("left", true), Key: l.fields["subject"]}, nil
+			Left: l.seconds("left", true), Key: l.fields["subject"], Tenant: l.whole("tenant", false)}, nil
 	case "ATTEMPT_END":
 		return choice.Result{ID: l.text("op-id"), Host: l.text("host"), Attempt: l.whole("try", false),
 			Outcome: l.outcome("how"), Took: l.seconds("cost-time", false), Done: l.whole("over", false) == 1,
