relay: answer 503 to a client that left, instead of an implied 200 or nothing

Found by holding the intake against the protocol. When a client had left before its message came to the loop, take replied nothing: the handler waited for ever and kept its connection, a descriptor and a goroutine lost for each. When it left after that, serveAPI withdrew the message and returned without a status, for which net/http writes 200: a client that only ended its sending reads that its message is taken on while the relay forgets it, so it is lost.

take now replies, and serveAPI asks whether the message was withdrawn: if so the answer is 503, else 202. Without the change the test fails (no answer; 200, want 503).

--- a/internal/relay/intake.go
+++ b/internal/relay/intake.go
@@ -82,8 +82,16 @@
 	}
 	if a.status == http.StatusAccepted && req.Context().Err() != nil {
 		// The client left without an answer and may hand the message in again under another id.
-		r.post(func() { r.withdraw(in.entry.ID) })
-		return
+		// One that only ended its sending still reads: it is not told 202 of what is given up here.
+		gone := make(chan bool, 1)
+		r.post(func() { gone <- r.withdraw(in.entry.ID) })
+		select {
+		case withdrawn := <-gone:
+			if withdrawn {
+				a = answer{status: http.StatusServiceUnavailable, after: comeBack, text: "withdrawn"}
+			}
+		case <-r.quit: // the journal has it
+		}
 	}
 	if a.after > 0 {
 		w.Header().Set("Retry-After", strconv.FormatFloat(a.after.Seconds(), 'f', 3, 64))
@@ -161,7 +169,8 @@
 	id := in.entry.ID
 	refuse := answer{status: http.StatusServiceUnavailable, after: comeBack, text: "no room"}
 	switch {
-	case in.ctx.Err() != nil: // nobody waits for the answer any more
+	case in.ctx.Err() != nil: // the client has gone; its handler still waits, and holds the connection
+		in.reply <- refuse
 	case r.held[id] != nil: // the client sent it again after its connection broke
 		m := r.held[id]
 		m.twice = true
@@ -186,14 +195,18 @@
 }
 
 // withdraw ends a message whose client left unanswered: it may hand it in again under
-// another id. One that was sent, or came twice, goes on; its id may still be in use.
-func (r *Relay) withdraw(id string) {
-	if m := r.held[id]; m != nil && m.Tries == 0 && !m.twice {
-		r.events = append(r.events, choice.Withdrawn{ID: id})
-		r.record(record{Op: opEnd, ID: id})
-		m.over = true
-		delete(r.held, id)
-	}
+// another id, and tells whether it did. One that was sent, or came twice, goes on; its id
+// may still be in use.
+func (r *Relay) withdraw(id string) bool {
+	m := r.held[id]
+	if m == nil || m.Tries > 0 || m.twice {
+		return false
+	}
+	r.events = append(r.events, choice.Withdrawn{ID: id})
+	r.record(record{Op: opEnd, ID: id})
+	m.over = true
+	delete(r.held, id)
+	return true
 }
 
 // recent is a bounded memory of ids.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -17,6 +17,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -257,6 +258,43 @@
 	want(t, "messages held", wait(t, held, "count"), 0)
 }
 
+// leaver is the context of a client that leaves once it was asked so many times whether it is there.
+type leaver struct {
+	context.Context
+	there atomic.Int32
+}
+
+func (l *leaver) Err() error {
+	if l.there.Add(-1) >= 0 {
+		return nil
+	}
+	return context.Canceled
+}
+
+// Guards against a handler, and its connection, that wait for ever once the client has left, and
+// against an answer 200, which the library gives by itself, to a message that is given up.
+func TestClientThatLeavesIsRefused(t *testing.T) {
+	leaving := at("s-1", "127.0.0.1:1", "taller")
+	leaving.State = "leaving" // so that messages wait
+	r := startRelay(t, newPlatform(t, leaving), nil)
+	for name, there := range map[string]int32{"before it is taken on": 0, "after that": 1} {
+		req := httptest.NewRequest("POST", "/api", strings.NewReader("x"))
+		for k, v := range map[string]string{"X-Request-Id": "m1", "X-Class": "payment", "X-Deadline-Ms": "9000",
+			"X-Addressing": "dest=7"} {
+			req.Header.Set(k, v)
+		}
+		gone := &leaver{Context: context.Background()}
+		gone.there.Store(there)
+		w, done := httptest.NewRecorder(), make(chan bool)
+		go func() { r.serveAPI(w, req.WithContext(gone)); close(done) }()
+		wait(t, done, "answer to a client that left "+name)
+		want(t, "status for a client that left "+name, w.Code, 503)
+		held := make(chan int, 1)
+		r.post(func() { held <- len(r.held) })
+		want(t, "messages held", wait(t, held, "count"), 0)
+	}
+}
+
 // Guards against losing a message that came on two connections when the first one broke.
 func TestWithdrawKeepsWhatCameTwice(t *testing.T) {
 	r := startRelay(t, newPlatform(t, at("s-1", "127.0.0.1:1", "taller")), nil)
