--- a/internal/relay/journal.go
+++ b/internal/relay/journal.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"hash/crc32"
+	"log/slog"
 	"os"
 	"path/filepath"
 )
@@ -85,7 +86,7 @@
 }
 
 // unframe reads the record at the start of data and tells how long it is. A
-// torn or corrupt one is an error: what follows it cannot be trusted.
+// torn or corrupt one is an error: where the next begins cannot be told from it.
 func unframe(data []byte) (r record, n int, err error) {
 	if len(data) < headerSize {
 		return r, 0, errors.New("torn header")
@@ -131,7 +132,16 @@
 	for at := 0; at < len(data); {
 		r, n, err := unframe(data[at:])
 		if err != nil {
-			break // the tail was being written when the process died
+			// The tail that was being written when the process died, or damage: what can be read
+			// behind it still tells of messages that are owed their end.
+			skip := nextFrame(data[at:])
+			if skip < 0 {
+				break
+			}
+			slog.Warn("journal is damaged", "at", at, "bytes", skip, "err", err)
+			j.doubt()
+			at += skip
+			continue
 		}
 		j.apply(r, int64(n))
 		at += n
@@ -143,6 +153,26 @@
 	return j, nil
 }
 
+// nextFrame finds the next sound record behind a damaged one, or returns -1.
+func nextFrame(data []byte) int {
+	for at := 1; at+headerSize < len(data); at++ {
+		if _, _, err := unframe(data[at:]); err == nil {
+			return at
+		}
+	}
+	return -1
+}
+
+// doubt takes it that each message known so far was sent, long ago, in records that are lost:
+// it may not go again where a repeat does harm, and is given back where it does none.
+func (j *journal) doubt() {
+	for _, e := range j.entries {
+		if e.Status == "" {
+			e.Ran, e.RanAt = true, 0
+		}
+	}
+}
+
 // apply brings the entries up to date with one record.
 func (j *journal) apply(r record, n int64) {
 	e := j.entries[r.ID]
--- a/internal/relay/journal_test.go
+++ b/internal/relay/journal_test.go
@@ -72,6 +72,32 @@
 	}
 }
 
+// Guards against the loss of all messages behind a damaged record, and against sending again what
+// the lost record may have told was sent.
+func TestDamagedJournalKeepsWhatCanBeRead(t *testing.T) {
+	first := frame(nil, taken("a", 10))
+	for name, damage := range map[string]func(second []byte) []byte{
+		"payload":   func(b []byte) []byte { b[headerSize+9] ^= 1; return b },
+		"length":    func(b []byte) []byte { b[0] ^= 0x55; return b },
+		"vast":      func(b []byte) []byte { b[3] = 0xff; return b },
+		"cut short": func(b []byte) []byte { return b[:len(b)/2] },
+		"zeroed":    func(b []byte) []byte { clear(b); return b },
+	} {
+		dir := t.TempDir()
+		data := append(bytes.Clone(first), damage(frame(nil, taken("b", 10)))...)
+		data = frame(frame(data, taken("c", 10)), taken("d", 10))
+		if err := os.WriteFile(filepath.Join(dir, "journal"), data, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		j := open(t, dir, 3e6)
+		if len(j.entries) != 3 || j.entries["a"] == nil || j.entries["c"] == nil || j.entries["d"] == nil {
+			t.Fatalf("%s: entries %v, want a, c and d", name, j.order)
+		}
+		want(t, name+": a may have run", j.entries["a"].Ran, true)
+		want(t, name+": c may have run", j.entries["c"].Ran, false)
+	}
+}
+
 // Guards against going over disk_mb, with which a relay has crashed, and against a full
 // journal that cannot record how the messages in it end.
 func TestDiskBudget(t *testing.T) {
