relay: keep the list held when discovery's is malformed, and pace an eager watch

A whole list without servers closed every endpoint; an entry without id or address, or in an unknown state, closed its endpoint or sent calls nowhere. Such an answer now counts as a failed call. A discovery that answers a watch at once with no news made follow ask without a pause, which takes the core from deliveries: it asks again after 50 ms, within the 200 ms in which a watch goes on.

--- a/internal/relay/discovery.go
+++ b/internal/relay/discovery.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"log/slog"
 	"net/http"
@@ -100,6 +101,7 @@
 	pause := firstPause
 	for ctx.Err() == nil {
 		addr, valid := r.discovery.get()
+		begin := time.Now()
 		l, err := r.ask(ctx, valid, addr, version, full)
 		if ctx.Err() != nil {
 			return
@@ -122,13 +124,38 @@
 		// A version that runs backwards is that of another history: changes cannot be built on it.
 		if full = !l.Full && l.Version < version; full {
 			version = 0
-			continue
+		} else {
+			version = l.Version
 		}
-		version = l.Version
-		if l.Full || len(l.Servers) > 0 {
+		if !full && (l.Full || len(l.Servers) > 0) {
 			r.post(func() { r.listed(l) })
+			continue
+		}
+		if time.Since(begin) < firstPause { // no news, and no waiting for any: asking at once would go round and round
+			select {
+			case <-ctx.Done():
+			case <-valid.Done():
+			case <-time.After(firstPause):
+			}
+		}
+	}
+}
+
+// check tells what makes a list unfit to act on. Discovery's word ends calls and closes
+// endpoints, so what is malformed leaves the list held as it is.
+func (l *list) check() error {
+	if l.Full && l.Servers == nil {
+		return errors.New("a whole list without servers")
+	}
+	for i, s := range l.Servers {
+		if s.ID == "" || s.State != "left" && s.Addr == "" {
+			return fmt.Errorf("servers[%d]: id is %q and addr %q", i, s.ID, s.Addr)
+		}
+		if s.State != "active" && s.State != "leaving" && s.State != "left" {
+			return fmt.Errorf("servers[%d]: %q is no state", i, s.State)
 		}
 	}
+	return nil
 }
 
 // ask makes one call, which ends at the latest when the address is no longer valid.
@@ -154,7 +181,10 @@
 	if resp.StatusCode != http.StatusOK {
 		return l, fmt.Errorf("status %d", resp.StatusCode)
 	}
-	return l, json.NewDecoder(http.MaxBytesReader(nil, resp.Body, 4<<20)).Decode(&l)
+	if err := json.NewDecoder(http.MaxBytesReader(nil, resp.Body, 4<<20)).Decode(&l); err != nil {
+		return l, err
+	}
+	return l, l.check()
 }
 
 // listed takes in news of the list: at once for the calls that have not gone yet, and for the decisions.
