choice: the pace follows a told limit at once, up as well as down

Suspects: (a) destinations held for unwell: ruled out, since the log shows one suspect from 14 s on, well again at 17 s; (b) endpoints missing from the list: ruled out if refused messages' destinations still get calls; (c) a pace that does not recover.

Evidence from the captured packets: destination 3 gets 133 calls in the first 5 s, then 35, 46, 59 and 76, a growth of 5% a second, while up to 169 messages for it in 5 s are never sent. Its answers tell x1 = 38 to 53 until 8 s, 7 to 10 from 9 to 15 s, and 38 to 56 again from 16 s on, with nearly all of the allowance left. Destinations 1, 6 and 7 show the same. (b) is ruled out, (c) holds.

Fault: refill clamps u.limit to the limit told, at once, but lets it grow back by 5% a second only, which is meant for a pace cut after a refusal; here the unit itself says that there is room. The same held a pace to a listed rate that was too low at the start. A report now moves the pace in its proportion to the limit, both ways, so that noise in the reports does not add up. The test fails without it (5 calls a second after the cut, 40 wanted).

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -495,6 +495,15 @@
 	return u.limit == 0 || u.tokens >= 1
 }
 
+// tell takes in the rate that a unit itself says it takes. The pace keeps its proportion to that: it
+// follows at once where the unit gives more again, and noise in the reports does not add up.
+func (u *unit) tell(rate float64) {
+	if u.listed > 0 {
+		u.limit *= rate / u.listed
+	}
+	u.listed = rate
+}
+
 // refill brings pace and tokens up to date.
 func (c *Chooser) refill(u *unit) {
 	dt := (c.now - u.limitAt).Seconds()
@@ -540,7 +549,7 @@
 		u.outs = remove(u.outs, k)
 	}
 	if r := c.set.ReportLimit; r >= 0 && r < len(e.Report) && e.Report[r] > 0 {
-		u.listed = e.Report[r]
+		u.tell(e.Report[r])
 	}
 	switch e.Outcome {
 	case Served:
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -393,6 +393,42 @@
 	}
 }
 
+// Guards against a destination that cuts its limit for a while and is then sent little for long, and the same
+// after a list with a rough rate that is too low.
+func TestPaceFollowsTheLimitTold(t *testing.T) {
+	s := settings()
+	s.ReportLimit = 0
+	host := ready("a", 1, 0, 0)
+	r := newRig(t, s, host)
+	n := 0
+	served := func(limit float64) int { // in a second, by a host that tells that limit
+		count := 0
+		for end := r.now + time.Second; r.now < end; {
+			r.now += 5 * ms
+			n++
+			acts := r.step(arrival(fmt.Sprint("m", n), 0))
+			for out := sends(acts); len(out) > 0; out = sends(acts) {
+				acts = nil
+				for _, o := range out {
+					count++
+					acts = append(acts, r.step(r.end(o.ID, o.Host, Served, func(e *Result) { e.Report = []float64{limit} }))...)
+				}
+			}
+		}
+		return count
+	}
+	served(50)
+	if before, cut := served(50), served(5)+served(5); before < 40 || cut > 30 {
+		t.Fatalf("%d a second before the cut, %d in two seconds of it", before, cut)
+	}
+	served(50)
+	host.Rate = 10
+	r.step(Listing{Hosts: []Host{host}})
+	if after := served(50); after < 40 {
+		t.Errorf("%d a second after the cut, want 40 at least", after)
+	}
+}
+
 // Guards against an outage seen where only kept connections broke, which their machine had given up.
 func TestStaleConnectionsAreNoOutage(t *testing.T) {
 	for _, stale := range []bool{true, false} {
