relay: take 16 KiB of an answer's head at most

Found by holding the code against the memory limit: net/http reads up to 10 MB of header for each call, and a relay has 32 MB and several dozen calls out. A longer head counts as an answer that cannot be read: the message may have run. Without the change the test's 64 KiB of header is taken for a delivery.

--- a/internal/relay/calls.go
+++ b/internal/relay/calls.go
@@ -93,6 +93,8 @@
 		// Hosts end idle connections; a request that crosses that is lost as a reset.
 		IdleConnTimeout:    idle,
 		DisableCompression: true,
+		// The library's 10 MB for each call would put the relay's memory in the hands of its hosts.
+		MaxResponseHeaderBytes: 16 << 10,
 	}
 }
 
--- a/internal/relay/calls_test.go
+++ b/internal/relay/calls_test.go
@@ -149,6 +149,15 @@
 	want(t, "end of a call too large", single(&http.Response{StatusCode: 413}, true), end{choice.NotSent, false})
 }
 
+// Guards against hosts whose answers fill the memory: a head without end is no answer.
+func TestVastAnswerIsBounded(t *testing.T) {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("X-Pad", strings.Repeat("p", 64<<10))
+	}))
+	defer s.Close()
+	want(t, "outcome", outcome(caller(), context.Background(), oneCall(s.Listener.Addr().String(), "x")), choice.Reset)
+}
+
 // Guards against a connection for each message.
 func TestConnectionsAreKept(t *testing.T) {
 	var conns atomic.Int32
