choice: keep an outage on record under an endpoint that is still listed

A unit is recorded as unwell under the name of its first endpoint. In a release all endpoints of a destination are replaced; after a restart the name is in no list, unwell() finds nothing, and the relay sends a destination that is out or cold its full pace. The test fails without the change.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -149,6 +149,9 @@
 			}
 			return left
 		})
+		for _, u := range d.units {
+			c.rename(u, d)
+		}
 	}
 	c.order = slices.DeleteFunc(c.order, func(d *dest) bool {
 		idle := len(d.hosts) == 0 && len(d.waiting) == 0 && d.out == 0
--- a/choice/restore.go
+++ b/choice/restore.go
@@ -1,6 +1,9 @@
 package choice
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Restored hands in a message that an earlier process of this relay had taken
 // on, with what is known of its attempts. An attempt whose outcome was never
@@ -46,6 +49,23 @@
 	c.suspect(h.unit, h.dest, "unwell before the restart")
 }
 
+// rename has an outage remembered under an endpoint that is still listed. A restarted relay knows only
+// those, and a destination may have all of its endpoints replaced while it is out or cold.
+func (c *Chooser) rename(u *unit, d *dest) {
+	if h := c.hosts[u.name]; h != nil && h.State != Gone {
+		return
+	}
+	i := slices.IndexFunc(d.hosts, func(h *host) bool { return h.unit == u && h.State == Ready })
+	if i < 0 {
+		return
+	}
+	old := u.name
+	if u.name = d.hosts[i].Addr; u.state != healthy {
+		c.act(Health{u.name, true, u.base})
+		c.act(Health{old, false, 0})
+	}
+}
+
 // comeBack is when a client had best hand a refused message in again: once a unit of its
 // destination may be sent to, and what waits there has gone.
 func (c *Chooser) comeBack(d *dest) time.Duration {
--- a/choice/restore_test.go
+++ b/choice/restore_test.go
@@ -1,6 +1,7 @@
 package choice
 
 import (
+	"fmt"
 	"testing"
 	"time"
 )
@@ -118,3 +119,26 @@
 	}
 	t.Fatal("nothing was refused")
 }
+
+// Guards against a relay that restarts and floods a cold destination, since the outage was on record under
+// an endpoint that has been replaced.
+func TestOutageIsRememberedUnderAListedEndpoint(t *testing.T) {
+	r := newRig(t, settings(), ready("a", 1, 0, 0))
+	for i := range 3 {
+		id := fmt.Sprint("m", i)
+		r.step(arrival(id, 0))
+		r.step(r.end(id, "a", Error))
+		r.after(100 * ms)
+	}
+	gone := ready("a", 1, 0, 0)
+	gone.State = Gone
+	unwell := map[string]bool{"a": true}
+	for _, a := range r.step(Listing{Hosts: []Host{gone, ready("b", 1, 0, 0)}}) {
+		if h, ok := a.(Health); ok {
+			unwell[h.Host] = h.Unwell
+		}
+	}
+	if !unwell["b"] || unwell["a"] {
+		t.Errorf("on record as unwell: %v, want b alone", unwell)
+	}
+}
