relay: a second address answers /ready and /metrics, apart from loop and clients

The figures are counted where a message ends (loop) and where the last byte of a request is written (the connection itself: the library's word comes before the last flush, RoundTrip's with the answer), under a lock of their own. That also tells more exactly than before whether a call went out at all, and replaces the two flags that did.

--- a/choice/state.go
+++ b/choice/state.go
@@ -138,6 +138,17 @@
 	return slices.DeleteFunc(all, func(o T) bool { return o == one })
 }
 
+// Excluded counts the endpoints on the list that nothing but trials is sent to.
+func (c *Chooser) Excluded() int {
+	n := 0
+	for _, h := range c.hosts {
+		if h.State != Gone && h.unit.state == suspect {
+			n++
+		}
+	}
+	return n
+}
+
 // check tells which setting is out of its range.
 func (s *Settings) check() error {
 	switch {
--- a/internal/relay/calls.go
+++ b/internal/relay/calls.go
@@ -55,16 +55,19 @@
 	done    bool // the host holds the message to be over
 }
 
-// hostConn remembers whether a write failed: then the last byte never went out.
+// hostConn tells a request that its last byte has been written. The library's own word comes
+// before the last flush, and that of RoundTrip only with the answer.
 type hostConn struct {
 	net.Conn
-	failed atomic.Bool
+	sending atomic.Pointer[onceBody] // of the request that is being written
 }
 
 func (c *hostConn) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
-	if err != nil {
-		c.failed.Store(true)
+	// All that was read of the body before a write is in that write or an earlier one.
+	if b := c.sending.Load(); err == nil && b != nil && b.handed.Load() && c.sending.CompareAndSwap(b, nil) {
+		b.written.Store(true)
+		b.whole()
 	}
 	return n, err
 }
@@ -72,9 +75,28 @@
 // onceBody is a request body that net/http cannot rewind. It guards against
 // the library's own resends: a request that bears an Idempotency-Key is sent
 // again after a broken connection if its body is empty or has GetBody.
-type onceBody struct{ io.Reader }
+type onceBody struct {
+	rest    *bytes.Reader
+	handed  atomic.Bool // the library has read it to its end
+	written atomic.Bool // and has written all of the request
+	whole   func()      // called then
+}
 
-func (onceBody) Close() error { return nil }
+func newOnceBody(body []byte, whole func()) *onceBody {
+	b := &onceBody{rest: bytes.NewReader(body), whole: whole}
+	b.handed.Store(len(body) == 0)
+	return b
+}
+
+func (b *onceBody) Read(p []byte) (int, error) {
+	n, err := b.rest.Read(p)
+	if b.rest.Len() == 0 {
+		b.handed.Store(true)
+	}
+	return n, err
+}
+
+func (b *onceBody) Close() error { return nil }
 
 // newTransport returns the client side towards hosts.
 func newTransport(dial, idle time.Duration, workers, conns int) *http.Transport {
@@ -212,19 +234,18 @@
 // certainly did not go out; unsure counts as gone.
 func (r *Relay) send(ctx context.Context, c *call, ids []string) (
 	resp *http.Response, never, reused, gated bool, err error) {
-	var conn *hostConn
-	var wrote atomic.Bool
+	out := newOnceBody(c.body, func() { r.figures.attempted(len(ids)) })
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(i httptrace.GotConnInfo) {
-			conn, _ = i.Conn.(*hostConn)
+			if conn, ok := i.Conn.(*hostConn); ok {
+				conn.sending.Store(out)
+			}
 			reused = i.Reused
 			// It may have taken long to come up: nothing new goes to a host that drains by now.
 			if gated = c.host.closed.Load(); gated {
 				i.Conn.Close()
 			}
 		},
-		// It comes before the last flush, so it proves nothing; its absence does.
-		WroteRequest: func(i httptrace.WroteRequestInfo) { wrote.Store(i.Err == nil) },
 	})
 	path := "/receive"
 	if len(ids) > 1 {
@@ -234,7 +255,7 @@
 	if err != nil {
 		return nil, true, false, false, err
 	}
-	req.Body, req.ContentLength = onceBody{bytes.NewReader(c.body)}, int64(len(c.body))
+	req.Body, req.ContentLength = out, int64(len(c.body))
 	if len(ids) == 1 {
 		req.Header.Set("X-Request-Id", ids[0])
 		if c.key != "" {
@@ -243,7 +264,7 @@
 	}
 	req.Header.Set("X-Deadline-Ms", strconv.FormatInt(max(1, c.timeout.Milliseconds()), 10))
 	resp, err = r.hostSide.RoundTrip(req)
-	never = err != nil && (conn == nil || !wrote.Load() || conn.failed.Load())
+	never = err != nil && !out.written.Load()
 	return resp, never, reused, gated, err
 }
 
--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -13,6 +13,7 @@
 // Config is what a relay is told at its start.
 type Config struct {
 	Listen    string
+	Admin     string // second address; empty for none
 	Discovery string
 	State     string // folder that lasts
 	Seed      uint64
@@ -37,6 +38,7 @@
 	}
 	var f struct {
 		Listen    string `json:"listen"`
+		Admin     string `json:"admin_addr"`
 		Discovery string `json:"discovery"`
 		Seed      string `json:"seed"`
 		Limits    struct {
@@ -57,7 +59,7 @@
 		}
 		return value
 	}
-	c = Config{Listen: or("BALANCER_LISTEN", f.Listen), Discovery: or("BALANCER_DISCOVERY", f.Discovery),
+	c = Config{Listen: or("BALANCER_LISTEN", f.Listen), Admin: or("BALANCER_ADMIN_ADDR", f.Admin), Discovery: or("BALANCER_DISCOVERY", f.Discovery),
 		State: env("BALANCER_STATE"), Cores: f.Limits.Cores, MemoryMB: f.Limits.MemoryMB,
 		Sockets: f.Limits.Sockets, DiskMB: f.Limits.DiskMB, Known: f.Known}
 	for name, v := range map[string]string{"listen": c.Listen, "discovery": c.Discovery, "BALANCER_STATE": c.State} {
--- /dev/null
+++ b/internal/relay/figures.go
@@ -0,0 +1,94 @@
+package relay
+
+import (
+	"bytes"
+	"fmt"
+	"maps"
+	"slices"
+	"sync"
+)
+
+// ending is how a message ended, as the figures tell it.
+type ending int
+
+const (
+	servedEnd ending = iota
+	refusedEnd
+	failedEnd
+)
+
+// ends counts the messages of one class by their ends.
+type ends [failedEnd + 1]int
+
+// figures are what this process has done and holds, for the operators. Each is counted where it
+// happens. They have a lock of their own, so that whoever reads them asks nothing of the loop.
+type figures struct {
+	mu                       sync.Mutex
+	classes                  map[string]*ends
+	attempts                 int // messages written whole to endpoints
+	inFlight                 int
+	known, excluded          int // endpoints
+	reloadsOK, reloadsFailed int
+}
+
+// declare has a class stand among the figures before its first message ends.
+func (f *figures) declare(class string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.of(class)
+}
+
+func (f *figures) of(class string) *ends {
+	if f.classes == nil {
+		f.classes = map[string]*ends{}
+	}
+	if f.classes[class] == nil {
+		f.classes[class] = new(ends)
+	}
+	return f.classes[class]
+}
+
+func (f *figures) ended(class string, how ending) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.of(class)[how]++
+}
+
+func (f *figures) attempted(messages int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.attempts += messages
+}
+
+func (f *figures) reloaded(err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err != nil {
+		f.reloadsFailed++
+	} else {
+		f.reloadsOK++
+	}
+}
+
+// hold tells what there is now.
+func (f *figures) hold(inFlight, known, excluded int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.inFlight, f.known, f.excluded = inFlight, known, excluded
+}
+
+// text has a figure a line.
+func (f *figures) text() []byte {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var b bytes.Buffer
+	for _, name := range slices.Sorted(maps.Keys(f.classes)) {
+		n := f.classes[name]
+		fmt.Fprintf(&b, "svc.requests.%s.served=%d\nsvc.requests.%s.refused=%d\nsvc.requests.%s.failed=%d\n",
+			name, n[servedEnd], name, n[refusedEnd], name, n[failedEnd])
+	}
+	fmt.Fprintf(&b, "svc.attempts=%d\nsvc.in_flight=%d\nsvc.endpoints_known=%d\nsvc.endpoints_excluded=%d\n"+
+		"svc.reloads_ok=%d\nsvc.reloads_failed=%d\n",
+		f.attempts, f.inFlight, f.known, f.excluded, f.reloadsOK, f.reloadsFailed)
+	return b.Bytes()
+}
--- a/internal/relay/intake.go
+++ b/internal/relay/intake.go
@@ -182,8 +182,10 @@
 	case r.past.has(id):
 		in.reply <- answer{status: http.StatusAccepted}
 	case !r.dests[in.entry.Dest]:
+		r.figures.ended(in.entry.Class, failedEnd)
 		in.reply <- answer{status: http.StatusNotFound, text: "unknown destination"}
 	case r.stopped || r.set.MaxHeld > 0 && len(r.held) >= r.set.MaxHeld || r.owed >= maxOwed:
+		r.figures.ended(in.entry.Class, refusedEnd)
 		in.reply <- refuse
 	default:
 		m := &message{entry: in.entry, class: in.class, due: in.due, fresh: []*intake{in}}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -14,6 +14,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"larchrouter/choice"
@@ -62,6 +63,10 @@
 	notices   chan notice
 	quit      chan struct{}
 	once      sync.Once
+	admin     *http.Server // of the second address; nil where there is none
+	adminAt   net.Addr
+	ready     atomic.Bool // clients may come
+	figures   figures
 
 	chooser *choice.Chooser
 	journal *journal
@@ -82,16 +87,28 @@
 }
 
 // New replays the journal and listens; Serve does the rest.
-func New(conf Config) (*Relay, error) {
+func New(conf Config) (r *Relay, err error) {
 	set := conf.Settings
-	r := &Relay{conf: conf, set: set, discovery: newPlatformAt(conf.Discovery), began: time.Now(),
+	r = &Relay{conf: conf, set: set, discovery: newPlatformAt(conf.Discovery), began: time.Now(),
 		held: map[string]*message{}, hosts: map[string]*host{}, dests: map[int]bool{}, inbox: make(chan func(), 1024), notices: make(chan notice, 2*maxOwed),
 		quit: make(chan struct{}), wake: time.NewTimer(time.Hour)}
 	idle := set.IdleConn - min(500*time.Millisecond, set.IdleConn/4)
 	r.hostSide = newTransport(set.DialTimeout, idle, set.Workers, conf.Sockets/4)
 	r.platform = &http.Client{Transport: &http.Transport{DisableCompression: true, IdleConnTimeout: idleIn}}
 	r.calls, r.endCalls = context.WithCancelCause(context.Background())
-	var err error
+	for _, k := range set.Classes {
+		r.figures.declare(k.Name)
+	}
+	if conf.Admin != "" {
+		if err := r.listenAdmin(conf.Admin); err != nil {
+			return nil, err
+		}
+		defer func() {
+			if err != nil {
+				r.admin.Close()
+			}
+		}()
+	}
 	if r.chooser, err = choice.New(set.Settings, conf.Seed); err != nil {
 		return nil, err
 	}
@@ -120,8 +137,12 @@
 	go r.follow(ctx, r.conf.Known.Version)
 	go r.tell(ctx)
 	go r.server.Serve(r.listener)
+	r.ready.Store(true)
 	r.loop()
 	cancel()
+	if r.admin != nil {
+		r.admin.Close()
+	}
 	r.server.Close()
 	r.endCalls(errStopping)
 }
@@ -138,6 +159,7 @@
 // Drain stops the relay in order: it takes on and delivers while clients still
 // come, lets calls out finish, and leaves the rest to the journal.
 func (r *Relay) Drain() {
+	r.ready.Store(false)
 	begin := time.Now()
 	rest := func(d time.Duration) time.Duration { return max(0, d-time.Since(begin)) }
 	time.Sleep(rest(stopKeeping))
@@ -189,6 +211,7 @@
 func (r *Relay) loop() {
 	for {
 		r.step()
+		r.figures.hold(len(r.held), len(r.hosts), r.chooser.Excluded())
 		var again <-chan struct{}
 		if len(r.events) > 0 { // the step left some; nothing else may come in for long
 			again = atOnce
@@ -273,6 +296,11 @@
 // give ends a message undelivered.
 func (r *Relay) give(m *message, n notice) {
 	r.record(record{Op: opNotice, ID: m.ID, Status: n.Status, Again: n.Again})
+	how := refusedEnd
+	if n.Status == undeliverable {
+		how = failedEnd
+	}
+	r.figures.ended(m.Class, how)
 	r.owe(n)
 	r.drop(m)
 }
@@ -376,6 +404,7 @@
 
 // refuse ends a message that was never taken on.
 func (r *Relay) refuse(m *message, after time.Duration) {
+	r.figures.ended(m.Class, refusedEnd)
 	m.over = true
 	delete(r.held, m.ID)
 	m.answer(answer{status: http.StatusServiceUnavailable, after: after, text: "refused"})
@@ -446,6 +475,11 @@
 		return
 	}
 	if e.done || e.outcome == choice.Served {
+		how := servedEnd
+		if e.outcome != choice.Served { // over at the host: out of time
+			how = failedEnd
+		}
+		r.figures.ended(m.Class, how)
 		r.record(record{Op: opEnd, ID: m.ID})
 		r.drop(m)
 		return
