choice, relay: endpoints that operators take out by hand stay out and come back cold

PUT /endpoints/disable/ID and /endpoints/enable/ID at the second address. Ids that nobody has get 404.

--- a/choice/api.go
+++ b/choice/api.go
@@ -160,6 +160,7 @@
 func (Arrival) event()   {}
 func (Restored) event()  {}
 func (Unwell) event()    {}
+func (ByHand) event()    {}
 func (Result) event()    {}
 func (Withdrawn) event() {}
 func (Listing) event()   {}
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -44,6 +44,7 @@
 	}
 	c := &Chooser{set: s, minAim: math.MaxInt64, msgs: map[string]*message{}, dests: map[int]*dest{},
 		hosts: map[string]*host{}, lines: map[string]*line{},
+		out: map[string]bool{}, cold: map[string]time.Duration{},
 		rand: rand.New(rand.NewPCG(seed, 0)), pool: table{weight: 1}}
 	for _, k := range s.Classes {
 		c.bound, c.minAim = max(c.bound, k.Aim), min(c.minAim, k.Aim)
@@ -69,6 +70,8 @@
 			c.restore(e)
 		case Unwell:
 			c.unwell(e)
+		case ByHand:
+			c.byHand(e)
 		case Result:
 			c.result(e)
 		case Withdrawn:
@@ -311,7 +314,7 @@
 	u, d := h.unit, h.dest
 	h.fails++
 	h.retryAt = c.now + min(c.set.Rules.Fall/8<<min(h.fails, 3), c.set.Rules.Fall/3)
-	well := func(g *host) bool { return g.unit == u && g.State == Ready && g.fails == 0 }
+	well := func(g *host) bool { return g.unit == u && c.open(g) && g.fails == 0 }
 	if slices.ContainsFunc(d.hosts, well) {
 		return
 	}
@@ -337,7 +340,7 @@
 func (c *Chooser) budget(u *unit, back time.Duration) float64 {
 	rate := u.listed
 	if rate == 0 {
-		rate = u.base * float64(c.set.Fleet)
+		rate = max(u.base, 1/c.set.Rules.Cold.Seconds()) * float64(c.set.Fleet)
 	}
 	k := c.set.Rules
 	share := min(1, k.ColdFrom+(1-k.ColdFrom)*back.Seconds()/k.Cold.Seconds())
@@ -403,7 +406,7 @@
 	if c.now-u.cutAt >= time.Second && !c.thin(u) {
 		// Over at least the even share of a call, or the refused call alone counts as more than its share.
 		span := min(max(time.Second, c.even(u)), c.set.Rules.Cold)
-		if own := c.sent(u, span) / span.Seconds(); u.limit == 0 || own < u.limit {
+		if own := c.sent(u.sends, span) / span.Seconds(); u.limit == 0 || own < u.limit {
 			u.limit = own
 		}
 		u.limit = max(u.limit*cut, 1/c.set.Rules.Cold.Seconds(), u.listed/float64(c.set.Fleet)/2)
@@ -467,10 +470,10 @@
 	}
 }
 
-// sent counts the calls to a unit within a span until now.
-func (c *Chooser) sent(u *unit, span time.Duration) float64 {
+// sent counts the calls within a span until now.
+func (c *Chooser) sent(sends []time.Duration, span time.Duration) float64 {
 	n := 0.0
-	for _, t := range u.sends {
+	for _, t := range sends {
 		if c.now-t <= span {
 			n++
 		}
@@ -487,11 +490,7 @@
 	case suspect:
 		return len(u.outs) <= 1 && c.now >= u.trialAt
 	case recovering:
-		n, span := c.budget(u, c.now-u.since), c.set.Rules.Fall
-		if n < 1 {
-			n, span = 1, time.Duration(float64(span)/n)
-		}
-		if c.sent(u, span)+1 > n {
+		if !c.affords(u.sends, c.budget(u, c.now-u.since)) {
 			return false
 		}
 	}
@@ -780,6 +779,7 @@
 	c.busy, d.out, h.out, d.lastTurn = c.busy+1, d.out+1, h.out+1, c.now
 	old := func(t time.Duration) bool { return c.now-t > max(c.set.Rules.Cold, time.Second) }
 	u.outs, u.sends = append(u.outs, k), append(slices.DeleteFunc(u.sends, old), c.now)
+	weight := 1
 	u.tokens--
 	if u.state == suspect {
 		u.trialAt = c.now + c.patience(d)<<min(u.trials, 4) + c.gap(u)
@@ -794,6 +794,10 @@
 	}
 	if len(k.members) > 1 {
 		u.sends = append(u.sends, c.now) // further messages weigh a little: counted as one more call
+		weight++
+	}
+	if _, cold := c.cold[h.Addr]; cold {
+		h.sends = append(slices.DeleteFunc(h.sends, old), slices.Repeat([]time.Duration{c.now}, weight)...)
 	}
 	return true
 }
@@ -810,7 +814,7 @@
 
 // fits tells whether a message may go to a host now, room in its unit apart.
 func (c *Chooser) fits(m *message, h *host) bool {
-	if h.State != Ready || !c.repeatable(m) || m.attempts >= c.set.MaxAttempts {
+	if !c.open(h) || !c.repeatable(m) || m.attempts >= c.set.MaxAttempts {
 		return false
 	}
 	if m.class.Effect == Keyed && m.class.SameZone && m.ran && h.Zone != m.ranZone {
@@ -859,7 +863,7 @@
 func (c *Chooser) pick(d *dest) (*message, *host) {
 	var open []*host
 	for _, h := range d.hosts {
-		if h.State == Ready && c.room(h.unit) {
+		if c.open(h) && c.room(h.unit) && c.warm(h) {
 			open = append(open, h)
 		}
 	}
--- a/choice/fuzz_test.go
+++ b/choice/fuzz_test.go
@@ -37,6 +37,7 @@
 		where[hosts[i].Addr] = &hosts[i]
 	}
 	now := time.Hour
+	out := map[string]bool{}
 	lives, wait, settled := map[string]*life{}, map[string]time.Duration{}, map[string]time.Duration{}
 	var ids []string
 	var all [][]Action
@@ -61,6 +62,8 @@
 					t.Fatalf("attempt %d of %s", l.tries+1, a.ID)
 				case h.State != Ready:
 					t.Fatalf("sent to %s in state %d", a.Host, h.State)
+				case out[a.Host]:
+					t.Fatalf("sent to %s, which is out by hand", a.Host)
 				case now < wait[unit]:
 					t.Fatalf("sent to %s within a told wait", a.Host)
 				case l.ran && class.Effect == Unsafe:
@@ -134,7 +137,7 @@
 	play(Listing{Whole: true, Hosts: hosts})
 	for i := 0; i+1 < len(data); i += 2 {
 		op, arg := data[i], int(data[i+1])
-		switch op % 5 {
+		switch op % 6 {
 		case 0:
 			id := fmt.Sprint("m", len(ids))
 			l := &life{class: arg % 4, due: now + time.Duration(1+arg/32)*time.Second, seq: len(ids)}
@@ -164,6 +167,10 @@
 			if h.State == Gone {
 				h.State = Draining // still named by calls out; nothing new may go there
 			}
+		case 3:
+			id := hosts[arg%4].Addr
+			out[id] = arg/4%2 == 0
+			play(ByHand{Host: id, Out: out[id]})
 		default:
 			for range 1 + arg/8 {
 				now += 5 * ms
--- /dev/null
+++ b/choice/hand_test.go
@@ -0,0 +1,66 @@
+package choice
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// Guards against messages for an endpoint that operators took out, whatever the list says meanwhile.
+func TestOutByHandOutlastsTheList(t *testing.T) {
+	r := newRig(t, settings(), ready("a", 1, 0, 0))
+	gone := ready("a", 1, 0, 0)
+	gone.State = Gone
+	acts := r.step(ByHand{Host: "a", Out: true}, arrival("m", 0))
+	acts = append(acts, r.after(time.Second)...)
+	acts = append(acts, r.step(Listing{Whole: true, Hosts: []Host{ready("a", 1, 0, 0)}})...)
+	acts = append(acts, r.step(Listing{Hosts: []Host{gone}})...)
+	acts = append(acts, r.after(time.Second)...)
+	acts = append(acts, r.step(Listing{Hosts: []Host{ready("a", 1, 0, 0)}})...)
+	acts = append(acts, r.after(time.Second)...)
+	if n := len(sends(acts)); n != 0 {
+		t.Fatalf("%d sends to an endpoint that is out", n)
+	}
+	if n := r.c.Excluded(); n != 1 {
+		t.Errorf("%d endpoints excluded, want 1", n)
+	}
+	r.step(ByHand{Host: "a", Out: true}) // one call back answers two calls out
+	if n := len(sends(append(r.step(ByHand{Host: "a"}), r.after(time.Second)...))); n != 1 {
+		t.Errorf("%d sends once it is back, want 1", n)
+	}
+	if n := r.c.Excluded(); n != 0 {
+		t.Errorf("%d endpoints excluded once it is back, want none", n)
+	}
+}
+
+// Guards against a restarted endpoint that is pushed over as operators give it back, and against
+// the other endpoints of its destination being held back with it.
+func TestBackByHandIsCold(t *testing.T) {
+	s := settings()
+	s.Workers, s.MaxHeld = 400, 1000
+	for name, c := range map[string]struct {
+		back []Event
+		want func(a, b int) bool
+	}{
+		// Of 100 calls a second each of two relays may send a cold half 0.9 x 2 x 0.2 x 100 x 2 s / 2 / 2
+		// calls in 2 s at first, and 0.36 in place of 0.2 after 2 s.
+		"as operators say so":       {[]Event{ByHand{Host: "a", Out: true}, ByHand{Host: "a"}}, func(a, b int) bool { return a > 5 && a < 36 && b > 60 }},
+		"as the record says so":     {[]Event{ByHand{Host: "a", Ago: time.Second}}, func(a, b int) bool { return a > 5 && a < 44 && b > 60 }},
+		"back long since":           {[]Event{ByHand{Host: "a", Ago: time.Minute}}, func(a, b int) bool { return a > 60 }},
+		"called back but never out": {[]Event{ByHand{Host: "a"}}, func(a, b int) bool { return a > 60 }},
+	} {
+		r := newRig(t, s, ready("a", 1, 0, 0), ready("b", 1, 0, 0))
+		r.step(c.back...)
+		sent := map[string]int{}
+		for i := range 400 {
+			r.now += 5 * ms
+			for _, a := range sends(r.step(arrival(fmt.Sprint("m", i), 0))) {
+				sent[a.Host]++
+				r.step(r.end(a.ID, a.Host, Served))
+			}
+		}
+		if !c.want(sent["a"], sent["b"]) {
+			t.Errorf("%s: %d calls to a, %d to b in 2 s", name, sent["a"], sent["b"])
+		}
+	}
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -42,9 +42,10 @@
 	dest    *dest
 	unit    *unit
 	out     int
-	liking  float64       // this relay's own liking, by chance
-	fails   int           // in a row
-	retryAt time.Duration // after failures
+	liking  float64         // this relay's own liking, by chance
+	fails   int             // in a row
+	retryAt time.Duration   // after failures
+	sends   []time.Duration // while it is cold after operators gave it back
 }
 
 // health of a unit.
@@ -130,7 +131,9 @@
 	pool    table         // of all destinations together, for those that have few samples yet
 	askAt   time.Duration // ask for list changes then; below 0 for never
 	acts    []Action
-	shares  []share // by tenant
+	shares  []share                  // by tenant
+	out     map[string]bool          // endpoints that operators took out
+	cold    map[string]time.Duration // when operators gave an endpoint back
 }
 
 // remove deletes one element.
@@ -138,17 +141,6 @@
 	return slices.DeleteFunc(all, func(o T) bool { return o == one })
 }
 
-// Excluded counts the endpoints on the list that nothing but trials is sent to.
-func (c *Chooser) Excluded() int {
-	n := 0
-	for _, h := range c.hosts {
-		if h.State != Gone && h.unit.state == suspect {
-			n++
-		}
-	}
-	return n
-}
-
 // check tells which setting is out of its range.
 func (s *Settings) check() error {
 	switch {
--- a/internal/relay/admin.go
+++ b/internal/relay/admin.go
@@ -1,10 +1,14 @@
 package relay
 
 import (
+	"errors"
 	"fmt"
+	"log/slog"
 	"net"
 	"net/http"
 	"time"
+
+	"larchrouter/choice"
 )
 
 // The second address is for the operators and their tools. It has a server of its own, apart from
@@ -25,6 +29,8 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /ready", r.serveReady)
 	mux.HandleFunc("GET /metrics", r.serveMetrics)
+	mux.HandleFunc("PUT /endpoints/disable/{id}", r.serveByHand(true))
+	mux.HandleFunc("PUT /endpoints/enable/{id}", r.serveByHand(false))
 	r.admin = newServer(framed(mux), p)
 	r.admin.ReadTimeout, r.admin.WriteTimeout = adminIn, adminIn
 	r.admin.SetKeepAlivesEnabled(false)
@@ -45,3 +51,51 @@
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	w.Write(r.figures.text())
 }
+
+// serveByHand takes an endpoint out, or gives it back. The answer comes once it holds.
+func (r *Relay) serveByHand(out bool) http.HandlerFunc {
+	return func(w http.ResponseWriter, req *http.Request) {
+		reply := make(chan error, 1)
+		r.post(func() { reply <- r.byHand(req.PathValue("id"), out) })
+		select {
+		case err := <-reply:
+			switch {
+			case errors.Is(err, errNoHost):
+				http.Error(w, err.Error(), http.StatusNotFound)
+			case err != nil:
+				http.Error(w, err.Error(), http.StatusServiceUnavailable)
+			default:
+				fmt.Fprintln(w, "done")
+			}
+		case <-r.quit:
+			http.Error(w, "stopping", http.StatusServiceUnavailable)
+		}
+	}
+}
+
+// errNoHost says that operators named an endpoint that nobody has.
+var errNoHost = errors.New("no such endpoint")
+
+// isOut tells whether operators took an endpoint out.
+func (r *Relay) isOut(id string) bool { return r.journal.byHand[id].Ran }
+
+// byHand does what operators ask for an endpoint. Asking twice is as good as once. It is recorded
+// first: what they were told outlasts the process.
+func (r *Relay) byHand(id string, out bool) error {
+	h := r.hosts[id]
+	switch {
+	case r.isOut(id) == out && (h != nil || out):
+		return nil
+	case h == nil && !r.isOut(id):
+		return errNoHost
+	}
+	if err := r.journal.append(record{Op: opByHand, ID: id, Ran: out, At: time.Now().UnixMilli()}); err != nil {
+		slog.Error("not taken out or given back", "endpoint", id, "err", err)
+		return err
+	}
+	if h != nil {
+		h.closed.Store(out || h.listed != choice.Ready)
+	}
+	r.events = append(r.events, choice.ByHand{Host: id, Out: out})
+	return nil
+}
--- a/internal/relay/admin_test.go
+++ b/internal/relay/admin_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -148,3 +149,72 @@
 	r.post(func() { r.events = append(r.events, choice.Unwell{Host: "s-1", Base: 1}) })
 	shows(t, r, "svc.endpoints_known=2", "svc.endpoints_excluded=1")
 }
+
+// Guards against calls to an endpoint that operators took out: across the list, an endpoint's new
+// address and a kill; against a no for what they may ask, and a yes for an endpoint that nobody has.
+func TestEndpointOutByHand(t *testing.T) {
+	calls := make(chan *seen, 10)
+	one, two := fakeHost(t, "a", calls), fakeHost(t, "b", calls)
+	p := newPlatform(t, at("s-1", one, "taller"), at("s-2", two, "taller"))
+	state := t.TempDir()
+	r := startRelay(t, p, func(conf *Config) { withAdmin(conf); conf.State = state })
+	do := func(r *Relay, want int, what, id string) {
+		t.Helper()
+		if got, body := operate(t, r, "PUT", "/endpoints/"+what+"/"+id); got != want {
+			t.Errorf("%s %s: %d %s, want %d", what, id, got, body, want)
+		}
+	}
+	goesTo := func(r *Relay, id, host string) {
+		t.Helper()
+		hand(t, r.Addr(), id, "payment")
+		c := wait(t, calls, "call")
+		want(t, "host of "+id, c.host, host)
+		c.answer <- 200
+	}
+	do(r, 404, "disable", "s-9")
+	do(r, 404, "enable", "s-9")
+	do(r, 200, "enable", "s-1")
+	do(r, 200, "disable", "s-1")
+	do(r, 200, "disable", "s-1")
+	shows(t, r, "svc.endpoints_known=2", "svc.endpoints_excluded=1")
+	for i := range 4 {
+		goesTo(r, fmt.Sprint("m", i), "b")
+	}
+	p.publish(2, true, at("s-2", two, "taller"))
+	shows(t, r, "svc.endpoints_known=1")
+	do(r, 200, "disable", "s-1") // it is out, though it is not on the list
+	p.publish(3, true, at("s-1", one, "taller"))
+	shows(t, r, "svc.endpoints_known=1", "svc.endpoints_excluded=1")
+	hand(t, r.Addr(), "m4", "payment")
+	r.stop()
+
+	next := startRelay(t, p, func(conf *Config) { withAdmin(conf); conf.State = state })
+	shows(t, next, "svc.in_flight=1", "svc.attempts=0", "svc.endpoints_excluded=1")
+	do(next, 200, "enable", "s-1")
+	c := wait(t, calls, "call")
+	want(t, "what waited goes", c.id+c.host, "m4a")
+	c.answer <- 200
+	shows(t, next, "svc.in_flight=0", "svc.endpoints_excluded=0")
+}
+
+// Guards against a crash, or a second address that stays taken, where a relay cannot start.
+func TestStartThatFailsFreesTheSecondAddress(t *testing.T) {
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer taken.Close()
+	p := newPlatform(t)
+	conf, err := readTestConfig(t, testConfig(t, p), t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	conf.Admin, conf.Listen = "127.0.0.1:0", taken.Addr().String()
+	r, err := New(conf)
+	if err == nil {
+		t.Fatalf("a relay started at an address that is taken: %v", r)
+	}
+	if !strings.Contains(err.Error(), "address already in use") {
+		t.Fatal(err)
+	}
+}
--- a/internal/relay/discovery.go
+++ b/internal/relay/discovery.go
@@ -38,7 +38,8 @@
 	id, addr   string
 	dest, zone int
 	perCall    int
-	closed     atomic.Bool // drains or is gone: nothing new may go there
+	listed     choice.State
+	closed     atomic.Bool // drains, is gone or out by hand: nothing new may go there
 }
 
 const (
@@ -205,7 +206,7 @@
 		}
 		ev.Hosts = append(ev.Hosts, h)
 		if was := old[s.ID]; was != nil {
-			was.closed.Store(h.State != choice.Ready)
+			was.closed.Store(h.State != choice.Ready || r.isOut(s.ID))
 		}
 		if h.State == choice.Gone {
 			delete(r.hosts, s.ID)
@@ -220,7 +221,8 @@
 		if h.Kind >= 0 {
 			n.perCall = r.set.Kinds[h.Kind].PerCall
 		}
-		n.closed.Store(h.State != choice.Ready)
+		n.closed.Store(h.State != choice.Ready || r.isOut(s.ID))
+		n.listed = h.State
 		r.hosts[s.ID] = n
 		r.dests[s.Cell] = true
 	}
--- a/internal/relay/journal.go
+++ b/internal/relay/journal.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"os"
 	"path/filepath"
+	"time"
 )
 
 // The journal is one append-only file of records: length, CRC32, JSON. What
@@ -60,6 +61,7 @@
 	opNotice  = "notice"  // the message ended undelivered; its notice is owed
 	opEnd     = "end"     // nothing more is owed
 	opHealth  = "health"  // ID is a host: an outage was seen there (Ran), or has passed
+	opByHand  = "hand"    // ID is a host: operators took it out (Ran), or gave it back, at At
 )
 
 type record struct {
@@ -113,6 +115,7 @@
 	live    int64 // what a compacted journal takes at most
 	entries map[string]*entry
 	unwell  map[string]record // hosts in an outage, or cold after it
+	byHand  map[string]record // hosts that operators took out, or gave back not long ago
 	order   []string          // ids as taken on; ended ones are dropped by compaction
 	broken  error             // a failed write could not be undone
 }
@@ -120,7 +123,7 @@
 // openJournal replays what an earlier process left and starts a compacted file.
 func openJournal(dir string, budget int64) (*journal, error) {
 	j := &journal{path: filepath.Join(dir, "journal"), budget: budget - 4*blockSize, entries: map[string]*entry{},
-		unwell: map[string]record{}}
+		unwell: map[string]record{}, byHand: map[string]record{}}
 	// A leftover copy is of a compaction that a kill cut short: the old file still holds all.
 	if err := os.Remove(j.path + ".tmp"); err != nil && !errors.Is(err, os.ErrNotExist) {
 		return nil, err
@@ -187,6 +190,11 @@
 			j.live -= slack
 		}
 		delete(j.unwell, r.ID)
+	case r.Op == opByHand:
+		if _, ok := j.byHand[r.ID]; !ok {
+			j.live += slack
+		}
+		j.byHand[r.ID] = r
 	case r.Op == opTaken && r.Entry != nil && j.entries[r.Entry.ID] == nil:
 		e = r.Entry
 		e.size = n + slack
@@ -226,7 +234,7 @@
 		case opTaken:
 			grows += ends[i] + slack
 			spare = reserve
-		case opHealth:
+		case opHealth, opByHand:
 			grows += slack
 		}
 	}
@@ -268,6 +276,14 @@
 	for _, h := range j.unwell {
 		buf = frame(buf, h)
 	}
+	for id, h := range j.byHand {
+		if !h.Ran && time.Since(time.UnixMilli(h.At)) > forgetUnwell { // warm long since
+			j.live -= slack
+			delete(j.byHand, id)
+			continue
+		}
+		buf = frame(buf, h)
+	}
 	if j.size+int64(len(buf)) > j.budget {
 		// Not a file that this journal wrote, which keeps room for its copy: make room first.
 		if err := os.Remove(j.path); err != nil {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -103,9 +103,10 @@
 		if err := r.listenAdmin(conf.Admin); err != nil {
 			return nil, err
 		}
+		admin := r.admin
 		defer func() {
 			if err != nil {
-				r.admin.Close()
+				admin.Close()
 			}
 		}()
 	}
@@ -282,6 +283,9 @@
 			r.record(record{Op: opHealth, ID: id})
 		}
 	}
+	for id, h := range r.journal.byHand {
+		r.events = append(r.events, choice.ByHand{Host: id, Out: h.Ran, Ago: ms(max(1, wall-h.At))})
+	}
 	slog.Info("journal replayed", "held", len(r.held), "owed", r.owed)
 }
 
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -436,7 +436,7 @@
 
 // Guards against calls held back, or let through, by a whole list: it closes just the hosts it leaves out.
 func TestWholeListClosesWhatIsMissing(t *testing.T) {
-	r := &Relay{hosts: map[string]*host{}, dests: map[int]bool{}}
+	r := &Relay{hosts: map[string]*host{}, dests: map[int]bool{}, journal: &journal{}}
 	r.listed(list{1, true, []server{at("s-1", "x:1", "taller"), at("s-2", "x:2", "taller"), at("s-3", "x:3", "taller")}})
 	one, two, three := r.hosts["s-1"], r.hosts["s-2"], r.hosts["s-3"]
 	r.listed(list{2, true, []server{at("s-1", "x:1", "taller"), at("s-3", "x:9", "taller")}})
