relay: the running process hands over to the next one, which goes on as the same relay

Chooser: Restored may name a call that still runs, Waiting a wait that is not over. The old process passes on outcomes and the messages that come on connections it has, each of which it ends with its next answer. A next process that dies before it has all leaves the first one as it was.

--- a/choice/api.go
+++ b/choice/api.go
@@ -161,6 +161,7 @@
 func (Restored) event()  {}
 func (Unwell) event()    {}
 func (ByHand) event()    {}
+func (Waiting) event()   {}
 func (Result) event()    {}
 func (Withdrawn) event() {}
 func (Listing) event()   {}
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -2,7 +2,8 @@
 
 // All decisions of the gateway; the interface is in api.go, plain state in state.go. In reading
 // order: constants; the endpoint list; the timeout oracle; health, pacing and waits; admission and
-// final answers; the turn. Order of keys is in order.go, what outlasts a process in restore.go.
+// final answers; the turn. Order of keys is in order.go, what outlasts a process in restore.go, what
+// operators do by hand and the budget of what comes back cold in hand.go.
 
 import (
 	"cmp"
@@ -72,6 +73,8 @@
 			c.unwell(e)
 		case ByHand:
 			c.byHand(e)
+		case Waiting:
+			c.waiting(e)
 		case Result:
 			c.result(e)
 		case Withdrawn:
@@ -336,17 +339,6 @@
 	}
 }
 
-// budget is this relay's share of the calls that the rule allows in its window, a while after a return.
-func (c *Chooser) budget(u *unit, back time.Duration) float64 {
-	rate := u.listed
-	if rate == 0 {
-		rate = max(u.base, 1/c.set.Rules.Cold.Seconds()) * float64(c.set.Fleet)
-	}
-	k := c.set.Rules
-	share := min(1, k.ColdFrom+(1-k.ColdFrom)*back.Seconds()/k.Cold.Seconds())
-	return budgetShare * k.OverloadFactor * share * rate * k.Fall.Seconds() / float64(c.set.Fleet)
-}
-
 // gap between trials, drawn by chance: it doubles up to a third of the rule's window, or to what leaves the
 // trials of all relays within twice the budget of a unit just back. In a large fleet each relay tries for
 // itself, and those that failed just before the return would come at once: there it is long from the start.
@@ -470,17 +462,6 @@
 	}
 }
 
-// sent counts the calls within a span until now.
-func (c *Chooser) sent(sends []time.Duration, span time.Duration) float64 {
-	n := 0.0
-	for _, t := range sends {
-		if c.now-t <= span {
-			n++
-		}
-	}
-	return n
-}
-
 // room tells whether a unit may be sent a call now.
 func (c *Chooser) room(u *unit) bool {
 	if c.now < u.waitUntil || c.now < u.pauseUntil {
--- a/choice/hand.go
+++ b/choice/hand.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// Endpoints that operators take out by hand, and how they come back.
+// Endpoints that operators take out by hand, how they come back, and the budget of what comes back cold.
 
 // ByHand says that operators took an endpoint out, or gave it back. It holds whatever the list says
 // of that endpoint, before and after.
@@ -66,6 +66,28 @@
 	return c.sent(sends, span)+1 <= n
 }
 
+// budget is this relay's share of the calls that the rule allows in its window, a while after a return.
+func (c *Chooser) budget(u *unit, back time.Duration) float64 {
+	rate := u.listed
+	if rate == 0 {
+		rate = max(u.base, 1/c.set.Rules.Cold.Seconds()) * float64(c.set.Fleet)
+	}
+	k := c.set.Rules
+	share := min(1, k.ColdFrom+(1-k.ColdFrom)*back.Seconds()/k.Cold.Seconds())
+	return budgetShare * k.OverloadFactor * share * rate * k.Fall.Seconds() / float64(c.set.Fleet)
+}
+
+// sent counts the calls within a span until now.
+func (c *Chooser) sent(sends []time.Duration, span time.Duration) float64 {
+	n := 0.0
+	for _, t := range sends {
+		if c.now-t <= span {
+			n++
+		}
+	}
+	return n
+}
+
 // Excluded counts the endpoints on the list that get no messages, by hand or by choice; those that
 // get single trials are among them.
 func (c *Chooser) Excluded() int {
--- a/choice/state.go
+++ b/choice/state.go
@@ -34,6 +34,7 @@
 	sent    time.Duration
 	members []*message // outcomes still due
 	off     bool       // called off
+	adopted int        // number at the process that made it; 0 for this one
 }
 
 // host is one endpoint.
--- a/internal/relay/admin.go
+++ b/internal/relay/admin.go
@@ -76,12 +76,18 @@
 // errNoHost says that operators named an endpoint that nobody has.
 var errNoHost = errors.New("no such endpoint")
 
+// errHandedOver says that the next process is the one to ask.
+var errHandedOver = errors.New("handed over to the next process")
+
 // isOut tells whether operators took an endpoint out.
 func (r *Relay) isOut(id string) bool { return r.journal.byHand[id].Ran }
 
 // byHand does what operators ask for an endpoint. Asking twice is as good as once. It is recorded
 // first: what they were told outlasts the process.
 func (r *Relay) byHand(id string, out bool) error {
+	if r.heir != nil {
+		return errHandedOver
+	}
 	h := r.hosts[id]
 	switch {
 	case r.isOut(id) == out && (h != nil || out):
--- a/internal/relay/calls.go
+++ b/internal/relay/calls.go
@@ -27,6 +27,8 @@
 
 // call is one call out, with one message or several.
 type call struct {
+	number  int // in what the process before this one handed over; 0 for one of this process
+	began   time.Time
 	host    *host
 	members []*message
 	sends   []choice.Send
@@ -123,6 +125,7 @@
 // start builds the call here in the loop, so that its goroutine shares nothing with it.
 func (r *Relay) start(c *call) {
 	now := r.now()
+	c.began = time.Now()
 	for i, m := range c.members {
 		m.call = c
 		c.timeout = max(c.timeout, c.sends[i].Timeout)
@@ -242,7 +245,7 @@
 			}
 			reused = i.Reused
 			// It may have taken long to come up: nothing new goes to a host that drains by now.
-			if gated = c.host.closed.Load(); gated {
+			if gated = c.host.closed.Load() || r.late(); gated {
 				i.Conn.Close()
 			}
 		},
--- a/internal/relay/discovery.go
+++ b/internal/relay/discovery.go
@@ -35,6 +35,7 @@
 
 // host is what the relay needs to call an endpoint.
 type host struct {
+	entry      server // as last listed
 	id, addr   string
 	dest, zone int
 	perCall    int
@@ -191,6 +192,7 @@
 // listed takes in news of the list: at once for the calls that have not gone yet, and for the decisions.
 func (r *Relay) listed(l list) {
 	ev := choice.Listing{Whole: l.Full}
+	r.version = l.Version
 	old := r.hosts
 	if l.Full {
 		r.hosts = map[string]*host{}
@@ -222,7 +224,7 @@
 			n.perCall = r.set.Kinds[h.Kind].PerCall
 		}
 		n.closed.Store(h.State != choice.Ready || r.isOut(s.ID))
-		n.listed = h.State
+		n.entry, n.listed = s, h.State
 		r.hosts[s.ID] = n
 		r.dests[s.Cell] = true
 	}
--- /dev/null
+++ b/internal/relay/handover_test.go
@@ -0,0 +1,134 @@
+package relay
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+)
+
+// upgrade starts the next process of a relay beside it.
+func upgrade(t *testing.T, p *platform, old *Relay) *Relay {
+	t.Helper()
+	return startRelay(t, p, func(conf *Config) {
+		withAdmin(conf)
+		conf.Listen, conf.State = old.Addr(), old.conf.State
+	})
+}
+
+// Guards against all that a new version under load may not do: turn clients back, on new and on old
+// connections; send what is out a second time; forget a wait, or what operators took out; count
+// what the process before it did, or miss what ends after it took over.
+func TestHandOver(t *testing.T) {
+	calls := make(chan *seen, 10)
+	other := at("s-3", fakeHost(t, "c", calls), "taller")
+	other.Cell = 8
+	p := newPlatform(t, at("s-1", fakeHost(t, "a", calls), "taller"), at("s-2", fakeHost(t, "b", calls), "taller"), other)
+	state := t.TempDir()
+	old := startRelay(t, p, func(conf *Config) { withAdmin(conf); conf.State = state })
+	if status, _ := operate(t, old, "PUT", "/endpoints/disable/s-2"); status != 200 {
+		t.Fatal(status)
+	}
+	kept := &http.Client{Transport: &http.Transport{}} // its connection stays with the old process
+	post := func(id string) *http.Response {
+		t.Helper()
+		req, _ := http.NewRequest("POST", "http://"+old.Addr()+"/api", strings.NewReader("body of "+id))
+		for k, v := range map[string]string{"X-Request-Id": id, "X-Class": "payment", "X-Deadline-Ms": "15000", "X-Addressing": "dest=7"} {
+			req.Header.Set(k, v)
+		}
+		resp, err := kept.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		io.Copy(io.Discard, resp.Body)
+		resp.Body.Close()
+		return resp
+	}
+	want(t, "m1", post("m1").StatusCode, 202)
+	out := wait(t, calls, "call")
+	hand(t, old.Addr(), "m2", "payment", "X-Addressing", "dest=8")
+	told := wait(t, calls, "call")
+	told.answer <- 429 // and to wait 0.3 s
+	shows(t, old, "svc.attempts=2", "svc.in_flight=2")
+	toldAt := time.Now()
+
+	next := upgrade(t, p, old)
+	if status, _ := operate(t, next, "GET", "/ready"); status != 200 {
+		t.Fatal(status)
+	}
+	shows(t, next, "svc.attempts=0", "svc.in_flight=2", "svc.endpoints_known=3", "svc.endpoints_excluded=1",
+		"svc.requests.payment.served=0")
+	passed := post("m3")
+	want(t, "m3, on the old connection", passed.StatusCode, 202)
+	want(t, "the old connection ends with it", passed.Close, true)
+	want(t, "m1 again", post("m1").StatusCode, 202)
+	want(t, "no class", func() int { s, _ := hand(t, old.Addr(), "m5", "none"); return s }(), 400)
+	for n := range 2 { // m2 after its wait, and m3
+		c := wait(t, calls, "call")
+		if c.id != "m2" && c.id != "m3" || c.host == "b" {
+			t.Fatalf("call %d has %s, at %s", n, c.id, c.host)
+		}
+		if c.id == "m2" && c.at.Sub(toldAt) < 200*time.Millisecond {
+			t.Errorf("m2 went %v after a wait of 0.3 s was told", c.at.Sub(toldAt))
+		}
+		c.answer <- 200
+	}
+	out.answer <- 200
+	shows(t, next, "svc.requests.payment.served=3", "svc.attempts=2", "svc.in_flight=0")
+	shows(t, old, "svc.requests.payment.served=0", "svc.attempts=2", "svc.in_flight=0")
+	if status, _ := operate(t, old, "PUT", "/endpoints/enable/s-2"); status != 503 {
+		t.Errorf("the process that handed over answers operators %d, want 503", status)
+	}
+	want(t, "further calls", len(calls), 0)
+
+	// What is out when the old process ends may have run: a payment is not sent again.
+	third := upgrade(t, p, next)
+	hand(t, third.Addr(), "m6", "payment")
+	wait(t, calls, "call")
+	fourth := upgrade(t, p, third)
+	third.stop()
+	want(t, "notice", wait(t, p.notices, "notice"), notice{"m6", undeliverable, 0})
+	shows(t, fourth, "svc.requests.payment.failed=1", "svc.in_flight=0")
+	want(t, "further calls", len(calls), 0)
+}
+
+// Guards against a relay that is lost to a next process which dies, lies or hangs as it takes over.
+func TestHandOverThatFails(t *testing.T) {
+	calls := make(chan *seen, 10)
+	p := newPlatform(t, at("s-1", fakeHost(t, "a", calls), "taller"))
+	old := startRelay(t, p, withAdmin)
+	up(t, old.Addr())
+	for i, says := range []string{"", "hello", handoverHello, handoverHello + "tak", handoverHello + "mine!\n"} {
+		conn, err := net.Dial("unix", filepath.Join(old.conf.State, handoverName))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.WriteString(conn, says); err != nil {
+			t.Fatal(err)
+		}
+		if says == handoverHello { // it replaces the journal, as it would, and dies
+			j, err := openJournal(old.conf.State, 3e6)
+			if err != nil {
+				t.Fatal(err)
+			}
+			j.f.Close()
+		}
+		conn.Close()
+		id := fmt.Sprint("m", i)
+		status, _ := hand(t, old.Addr(), id, "payment")
+		want(t, "status", status, 202)
+		c := wait(t, calls, "call")
+		want(t, "id", c.id, id)
+		c.answer <- 200
+	}
+	hand(t, old.Addr(), "m9", "payment")
+	out := wait(t, calls, "call")
+	next := upgrade(t, p, old)
+	shows(t, next, "svc.in_flight=1")
+	out.answer <- 200
+	shows(t, next, "svc.requests.payment.served=1", "svc.in_flight=0")
+}
--- a/internal/relay/intake.go
+++ b/internal/relay/intake.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"larchrouter/choice"
+	"larchrouter/internal/settings"
 )
 
 const (
@@ -113,16 +114,11 @@
 		return bad("X-Request-Id is missing or malformed")
 	}
 	class := -1
-	for i, k := range r.set.Classes {
-		if k.Name == e.Class {
-			class = i
-		}
-	}
-	if class < 0 {
-		return bad("X-Class is missing or unknown")
-	}
-	if e.Key != "" && !isName(e.Key) || e.Key == "" && r.set.Classes[class].Effect == choice.Keyed {
-		return bad("Idempotency-Key is missing or malformed")
+	var err error
+	if r.passedAt.Load() > 0 { // the next process may know others
+		w.Header().Set("Connection", "close")
+	} else if class, err = admit(&r.set, e); err != nil {
+		return bad(err.Error())
 	}
 	ms, err := strconv.ParseInt(req.Header.Get("X-Deadline-Ms"), 10, 64)
 	if err != nil || ms <= 0 || ms > maxLeft.Milliseconds() {
@@ -148,6 +144,18 @@
 	return &intake{entry: e, class: class, due: came + left, ctx: req.Context(), reply: make(chan answer, 1)}, 0, nil
 }
 
+// admit finds the class of a message, and tells what its class wants of it.
+func admit(set *settings.Settings, e *entry) (class int, err error) {
+	class = slices.IndexFunc(set.Classes, func(k choice.Class) bool { return k.Name == e.Class })
+	switch {
+	case class < 0:
+		return class, errors.New("X-Class is missing or unknown")
+	case e.Key != "" && !isName(e.Key) || e.Key == "" && set.Classes[class].Effect == choice.Keyed:
+		return class, errors.New("Idempotency-Key is missing or malformed")
+	}
+	return class, nil
+}
+
 // isName tells whether text can stand in a header and in a line of /receive-many.
 func isName(s string) bool {
 	return s != "" && len(s) <= maxName && strings.IndexFunc(s, func(c rune) bool { return c <= ' ' || c > '~' }) < 0
@@ -169,6 +177,8 @@
 	id := in.entry.ID
 	refuse := answer{status: http.StatusServiceUnavailable, after: comeBack, text: "no room"}
 	switch {
+	case r.heir != nil:
+		r.pass(in)
 	case in.ctx.Err() != nil: // the client has gone; its handler still waits, and holds the connection
 		in.reply <- refuse
 	case r.held[id] != nil: // the client sent it again after its connection broke
@@ -201,7 +211,7 @@
 // may still be in use.
 func (r *Relay) withdraw(id string) bool {
 	m := r.held[id]
-	if m == nil || m.Tries > 0 || m.twice {
+	if r.heir != nil || m == nil || m.Tries > 0 || m.twice {
 		return false
 	}
 	r.events = append(r.events, choice.Withdrawn{ID: id})
@@ -211,6 +221,12 @@
 	return true
 }
 
+// all has the ids, the oldest first.
+func (s *recent) all() []string {
+	return slices.DeleteFunc(slices.Concat(s.ring[min(s.next, len(s.ring)):], s.ring[:s.next]),
+		func(id string) bool { return id == "" })
+}
+
 // recent is a bounded memory of ids.
 type recent struct {
 	ids  map[string]bool
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -53,6 +53,7 @@
 	began    time.Time
 	server   *http.Server
 	listener *peers
+	tcp      *net.TCPListener // under listener
 	hostSide *http.Transport
 	platform *http.Client
 	// discovery is where platform's requests go.
@@ -81,9 +82,19 @@
 	wake    *time.Timer
 	wakeAt  time.Duration
 	woken   bool
-	out     int  // calls
-	owed    int  // notices
-	stopped bool // no more decisions; outcomes are still recorded
+	out     int   // calls
+	owed    int   // notices
+	stopped bool  // no more decisions; outcomes are still recorded
+	version int64 // of the list
+
+	heritage    *heritage         // from the process before this one; nil if there was none
+	heirs       *net.UnixListener // where the next process asks; nil if it cannot
+	heirConn    *net.UnixConn     // it has asked
+	heir        *link             // it has taken over
+	asked       map[int64]*intake // messages passed to it that it has not answered yet
+	askedN      int64
+	passedAt    atomic.Int64 // when it took over, Unix nanoseconds; 0 if it has not
+	endPlatform context.CancelFunc
 }
 
 // New replays the journal and listens; Serve does the rest.
@@ -110,23 +121,60 @@
 			}
 		}()
 	}
+	if err := r.listen(); err != nil {
+		return nil, err
+	}
+	tcp, heritage := r.tcp, r.heritage
+	defer func() {
+		if err != nil {
+			tcp.Close()
+			if heritage != nil {
+				heritage.close()
+			}
+		}
+	}()
 	if r.chooser, err = choice.New(set.Settings, conf.Seed); err != nil {
 		return nil, err
 	}
 	if r.journal, err = openJournal(conf.State, int64(conf.DiskMB*1e6)); err != nil {
 		return nil, err
 	}
+	r.listener = newPeers(r.tcp, conf.Sockets/2)
+	r.server = newServer(r.handler(), r.listener)
+	if h := r.heritage; h != nil {
+		r.listed(list{h.Version, true, append(h.Servers, h.Gone...)})
+		r.adopt(h)
+		r.restore()
+		for i := range h.Gone {
+			h.Gone[i].State = "left"
+		}
+		r.listed(list{Version: h.Version, Servers: h.Gone})
+		return r, h.accept()
+	}
 	if conf.Known.Full || len(conf.Known.Servers) > 0 {
 		r.listed(conf.Known)
 	}
 	r.restore()
-	l, err := net.Listen("tcp", conf.Listen)
+	return r, nil
+}
+
+// listen takes the clients' address from the process that runs as this relay, if there is one.
+// Before that the journal is not this process's to open.
+func (r *Relay) listen() (err error) {
+	if r.heritage, err = inherit(r.conf.State); err != nil {
+		// It may have died; if it has not, the address is taken.
+		slog.Warn("nothing taken over", "err", err)
+	}
+	if r.heritage != nil {
+		r.tcp = r.heritage.tcp
+		return nil
+	}
+	l, err := net.Listen("tcp", r.conf.Listen)
 	if err != nil {
-		return nil, err
+		return err
 	}
-	r.listener = newPeers(l, conf.Sockets/2)
-	r.server = newServer(r.handler(), r.listener)
-	return r, nil
+	r.tcp = l.(*net.TCPListener)
+	return nil
 }
 
 // Addr is where clients connect.
@@ -135,15 +183,26 @@
 // Serve runs the relay until Drain has ended it.
 func (r *Relay) Serve() {
 	ctx, cancel := context.WithCancel(context.Background())
+	r.endPlatform = cancel
+	if r.heritage != nil {
+		r.attend(r.heritage)
+	}
+	r.awaitHeir()
 	go r.follow(ctx, r.conf.Known.Version)
 	go r.tell(ctx)
 	go r.server.Serve(r.listener)
 	r.ready.Store(true)
 	r.loop()
 	cancel()
+	if r.heir != nil {
+		r.heir.finish()
+	}
 	if r.admin != nil {
 		r.admin.Close()
 	}
+	if r.heirs != nil {
+		r.heirs.Close()
+	}
 	r.server.Close()
 	r.endCalls(errStopping)
 }
@@ -153,6 +212,7 @@
 const (
 	stopKeeping = 500 * time.Millisecond  // then connections end between requests
 	stopTaking  = 800 * time.Millisecond  // then none is accepted
+	stopPassing = 2300 * time.Millisecond // after a hand-over: then connections without a request end
 	stopSending = 2600 * time.Millisecond // then no more calls go out
 	stopAll     = 3300 * time.Millisecond // then calls still out are left to the journal
 )
@@ -163,17 +223,26 @@
 	r.ready.Store(false)
 	begin := time.Now()
 	rest := func(d time.Duration) time.Duration { return max(0, d-time.Since(begin)) }
-	time.Sleep(rest(stopKeeping))
-	r.server.SetKeepAlivesEnabled(false)
-	time.Sleep(rest(stopTaking))
+	if r.passedAt.Load() > 0 {
+		// The clients' connections end with their next answer, none of them under a request.
+		time.Sleep(rest(stopPassing))
+	} else {
+		time.Sleep(rest(stopKeeping))
+		r.server.SetKeepAlivesEnabled(false)
+		time.Sleep(rest(stopTaking))
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), rest(stopSending))
 	r.server.Shutdown(ctx)
 	cancel()
 	idle := make(chan struct{}, 1)
 	for {
 		r.post(func() {
-			if r.stopped = r.stopped || time.Since(begin) >= stopSending; r.out == 0 &&
-				(r.stopped || len(r.held)+r.owed == 0) {
+			r.stopped = r.stopped || time.Since(begin) >= stopSending
+			done := r.stopped || len(r.held)+r.owed == 0
+			if r.heir != nil { // what this process still holds for the next one
+				done = len(r.asked) == 0
+			}
+			if r.out == 0 && done {
 				select {
 				case idle <- struct{}{}:
 				default:
@@ -212,10 +281,15 @@
 func (r *Relay) loop() {
 	for {
 		r.step()
-		r.figures.hold(len(r.held), len(r.hosts), r.chooser.Excluded())
+		if r.heir == nil {
+			r.figures.hold(len(r.held), len(r.hosts), r.chooser.Excluded())
+		}
 		var again <-chan struct{}
 		if len(r.events) > 0 { // the step left some; nothing else may come in for long
 			again = atOnce
+		} else if conn := r.heirConn; conn != nil {
+			r.heirConn = nil
+			r.handOver(conn)
 		}
 		select {
 		case f := <-r.inbox:
@@ -252,7 +326,7 @@
 			r.owe(notice{e.ID, e.Status, e.Again})
 			continue
 		}
-		if e.Out {
+		if e.Out && r.heritage.callOf(id) == nil {
 			// The process died before the outcome was recorded: it may have run.
 			r.record(record{Op: opOutcome, ID: id, Ran: true})
 		}
@@ -268,10 +342,14 @@
 		}
 		m := &message{entry: e, class: class, due: r.now() + ms(e.Due-wall)}
 		r.held[id] = m
+		adopted := r.heritage.callOf(id)
 		ev := choice.Restored{Arrival: choice.Arrival{ID: id, Class: class, Dest: e.Dest, Left: ms(e.Due - wall),
 			Tenant: slices.Index(r.set.TenantNames, e.Tenant)},
 			Attempts: e.Tries, Timeout: ms(e.Wait), Ran: e.Ran, RanAgo: ms(wall - e.RanAt), RanZone: e.Zone}
-		if e.Out && !e.Ran {
+		if adopted != nil {
+			m.call = adopted
+			ev.Out = &choice.Running{Host: adopted.host.id, Call: adopted.number, Ago: time.Since(adopted.began)}
+		} else if e.Out && !e.Ran {
 			ev.Ran, ev.RanAgo, ev.RanZone = true, ms(wall-e.OutAt), e.OutTo
 		}
 		r.events = append(r.events, ev)
@@ -320,6 +398,9 @@
 // goes out before it is: a client told to come again, and a restart that takes the
 // message up again, would deliver it twice.
 func (r *Relay) flush() {
+	if r.heir != nil {
+		return // the journal is the next process's
+	}
 	if len(r.records) > 0 {
 		if err := r.journal.append(r.records...); err != nil {
 			slog.Error("not recorded", "records", len(r.records), "err", err)
@@ -336,6 +417,10 @@
 
 // step lets the Chooser decide on what has come in, and carries its actions out.
 func (r *Relay) step() {
+	if r.heir != nil {
+		r.events = nil
+		return
+	}
 	if r.stopped {
 		r.events = nil
 		for _, m := range r.fresh {
@@ -473,6 +558,11 @@
 		return // its own time was up before the call's
 	}
 	m.call = nil
+	if r.heir != nil {
+		r.hostSide.CloseIdleConnections() // descriptors count for both processes together
+		r.heir.send(passed{End: &endPassed{m.ID, e.outcome, e.done, t.took, t.wait, t.report, t.stale}})
+		return
+	}
 	r.events = append(r.events, choice.Result{ID: m.ID, Host: c.host.id, Outcome: e.outcome, Took: t.took, Wait: t.wait,
 		Stale: t.stale, Report: t.report, Done: e.done || e.outcome == choice.Served})
 	if m.over {
