--- a/internal/relay/handover_test.go
+++ b/internal/relay/handover_test.go
@@ -14,10 +14,18 @@
 // upgrade starts the next process of a relay beside it.
 func upgrade(t *testing.T, p *platform, old *Relay) *Relay {
 	t.Helper()
-	return startRelay(t, p, func(conf *Config) {
+	next := startRelay(t, p, func(conf *Config) {
 		withAdmin(conf)
 		conf.Listen, conf.State = old.Addr(), old.conf.State
 	})
+	for begin := time.Now(); ; time.Sleep(time.Millisecond) {
+		if status, _ := operate(t, next, "GET", "/ready"); status == 200 {
+			return next
+		}
+		if time.Since(begin) > 30*time.Second {
+			t.Fatal("the next process does not say that it is ready")
+		}
+	}
 }
 
 // Guards against all that a new version under load may not do: turn clients back, on new and on old
@@ -30,6 +38,7 @@
 	p := newPlatform(t, at("s-1", fakeHost(t, "a", calls), "taller"), at("s-2", fakeHost(t, "b", calls), "taller"), other)
 	state := t.TempDir()
 	old := startRelay(t, p, func(conf *Config) { withAdmin(conf); conf.State = state })
+	up(t, old.Addr())
 	if status, _ := operate(t, old, "PUT", "/endpoints/disable/s-2"); status != 200 {
 		t.Fatal(status)
 	}
@@ -57,9 +66,6 @@
 	toldAt := time.Now()
 
 	next := upgrade(t, p, old)
-	if status, _ := operate(t, next, "GET", "/ready"); status != 200 {
-		t.Fatal(status)
-	}
 	shows(t, next, "svc.attempts=0", "svc.in_flight=2", "svc.endpoints_known=3", "svc.endpoints_excluded=1",
 		"svc.requests.payment.served=0")
 	passed := post("m3")
