choice, relay, settings: SIGHUP takes settings up whole, and open messages keep their terms

Ruled out: intake and discovery. The file of the first adds a class, which the relay never read; that of the second names another address, but allows no attempts, and had only its address read.

settings.Complete tells what a file lacks that the running one has; Parse checks the ranges. The loop puts settings, list and address in force together. Latency tables are spread over the new buckets. Classes dropped are taken for 2 s more, for clients use the new ones 1.2 s after the signal.

--- a/choice/api.go
+++ b/choice/api.go
@@ -157,15 +157,16 @@
 // Woken is the wake-up that a Wake action asked for.
 type Woken struct{}
 
-func (Arrival) event()   {}
-func (Restored) event()  {}
-func (Unwell) event()    {}
-func (ByHand) event()    {}
-func (Waiting) event()   {}
-func (Result) event()    {}
-func (Withdrawn) event() {}
-func (Listing) event()   {}
-func (Woken) event()     {}
+func (Arrival) event()      {}
+func (Restored) event()     {}
+func (Unwell) event()       {}
+func (ByHand) event()       {}
+func (Reconfigured) event() {}
+func (Waiting) event()      {}
+func (Result) event()       {}
+func (Withdrawn) event()    {}
+func (Listing) event()      {}
+func (Woken) event()        {}
 
 // An Action is something the relay must do. The types below are the actions.
 type Action interface{ action() }
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -40,23 +40,17 @@
 
 // New returns a Chooser for one relay. Pauses are drawn from the seed.
 func New(s Settings, seed uint64) (*Chooser, error) {
-	if err := s.check(); err != nil {
+	if err := s.Check(); err != nil {
 		return nil, fmt.Errorf("choice: settings: %w", err)
 	}
-	c := &Chooser{set: s, minAim: math.MaxInt64, msgs: map[string]*message{}, dests: map[int]*dest{},
+	c := &Chooser{set: s, msgs: map[string]*message{}, dests: map[int]*dest{},
 		hosts: map[string]*host{}, lines: map[string]*line{},
 		out: map[string]bool{}, cold: map[string]time.Duration{},
 		rand: rand.New(rand.NewPCG(seed, 0)), pool: table{weight: 1}}
-	for _, k := range s.Classes {
-		c.bound, c.minAim = max(c.bound, k.Aim), min(c.minAim, k.Aim)
-	}
 	if !s.Subscribe {
 		c.askAt = -1
 	}
-	c.pool.width = c.bound / buckets
-	c.luck = slices.Repeat([]float64{0.5}, max(1, len(s.Kinds)))
-	c.shares = slices.Repeat([]share{{left: math.MaxInt32}}, len(s.Tenants)) // full
-	c.nap = max(s.Tick, c.minAim/glance)
+	c.apply(s)
 	return c, nil
 }
 
@@ -75,6 +69,8 @@
 			c.byHand(e)
 		case Waiting:
 			c.waiting(e)
+		case Reconfigured:
+			c.reconfigure(e.Settings)
 		case Result:
 			c.result(e)
 		case Withdrawn:
@@ -136,6 +132,9 @@
 			}
 			h.unit = d.units[len(d.units)-1]
 		}
+		if n.Kind >= 0 && n.Kind < len(c.set.Kinds) {
+			h.dest.kind.PerCall = c.set.Kinds[n.Kind].PerCall // it may have changed
+		}
 		if h.Host = n; c.set.Listed && n.State == Ready {
 			if h.unit.listed = n.Rate; h.unit.limit == 0 {
 				h.unit.limit = n.Rate // all relays together may send no more, so neither may one
@@ -273,7 +272,7 @@
 // timeout for the next try of a message at a unit.
 func (c *Chooser) timeout(m *message, u *unit) time.Duration {
 	left := m.due - c.now
-	if !c.repeatable(m) || m.attempts+1 >= c.set.MaxAttempts {
+	if !c.repeatable(m) || m.attempts+1 >= m.most {
 		return left
 	}
 	d := m.dest
@@ -503,7 +502,8 @@
 
 func (c *Chooser) arrive(e Arrival) {
 	k := &c.set.Classes[min(max(e.Class, 0), len(c.set.Classes)-1)]
-	m := &message{Arrival: e, class: k, dest: c.dest(e.Dest), due: c.now + e.Left, unsure: -1}
+	m := &message{Arrival: e, class: k, most: c.set.MaxAttempts, dest: c.dest(e.Dest), due: c.now + e.Left,
+		unsure: -1}
 	m.born, m.past = m.due-k.Deadline, !c.within(e.Tenant)
 	c.msgs[e.ID] = m
 	c.held++
@@ -574,7 +574,7 @@
 	switch {
 	case e.Done || m.over:
 		c.end(m)
-	case !c.repeatable(m) || m.attempts >= c.set.MaxAttempts:
+	case !c.repeatable(m) || m.attempts >= m.most:
 		c.final(m)
 	default:
 		c.queue(m)
@@ -795,7 +795,7 @@
 
 // fits tells whether a message may go to a host now, room in its unit apart.
 func (c *Chooser) fits(m *message, h *host) bool {
-	if !c.open(h) || !c.repeatable(m) || m.attempts >= c.set.MaxAttempts {
+	if !c.open(h) || !c.repeatable(m) || m.attempts >= m.most {
 		return false
 	}
 	if m.class.Effect == Keyed && m.class.SameZone && m.ran && h.Zone != m.ranZone {
--- a/choice/restore.go
+++ b/choice/restore.go
@@ -16,6 +16,7 @@
 	Ran      bool          // one of them may have run
 	RanAgo   time.Duration // since the first such attempt went out
 	RanZone  int           // zone of its host
+	Terms    *Terms        // it came under; nil for those of its class as it is now
 	Out      *Running      // the last of them still runs, in the process that hands over; nil if none does
 }
 
@@ -73,6 +74,10 @@
 	c.arrive(e.Arrival)
 	m := c.msgs[e.ID]
 	m.attempts, m.timeout = e.Attempts, e.Timeout
+	if e.Terms != nil {
+		m.class, m.most = &e.Terms.Class, e.Terms.Attempts
+		m.born = m.due - m.class.Deadline
+	}
 	if m.ran = e.Ran; e.Ran {
 		m.ranAt, m.ranZone, m.unsure = c.now-e.RanAgo, e.RanZone, c.now
 	}
@@ -80,7 +85,7 @@
 		c.adopt(m, e.Out)
 		return
 	}
-	if m.attempts >= c.set.MaxAttempts || !c.repeatable(m) {
+	if m.attempts >= m.most || !c.repeatable(m) {
 		c.final(m)
 	}
 }
--- /dev/null
+++ b/choice/rules.go
@@ -0,0 +1,65 @@
+package choice
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+// Settings that change while messages are open.
+
+// Reconfigured replaces the settings as a whole. What is open keeps the class and the number of
+// attempts that it came under: its client was told of those.
+type Reconfigured struct{ Settings Settings }
+
+// Terms are what a message came under.
+type Terms struct {
+	Class    Class
+	Attempts int // Settings.MaxAttempts then
+}
+
+func (c *Chooser) reconfigure(s Settings) {
+	if err := s.Check(); err != nil {
+		c.log("settings not taken: %v", err)
+		return
+	}
+	c.apply(s)
+	c.log("settings taken: %d classes, %d attempts", len(s.Classes), s.MaxAttempts)
+}
+
+// apply takes settings up, and keeps what was learnt under earlier ones.
+func (c *Chooser) apply(s Settings) {
+	c.set, c.bound, c.minAim = s, 0, math.MaxInt64
+	for _, k := range s.Classes {
+		c.bound, c.minAim = max(c.bound, k.Aim), min(c.minAim, k.Aim)
+	}
+	c.nap = max(s.Tick, c.minAim/glance)
+	c.pool.spread(c.bound / buckets)
+	for _, d := range c.order {
+		d.table.spread(c.bound / buckets)
+	}
+	for len(c.luck) < max(1, len(s.Kinds)) {
+		c.luck = append(c.luck, 0.5)
+	}
+	for len(c.shares) < len(s.Tenants) {
+		c.shares = append(c.shares, share{left: math.MaxInt32}) // full
+	}
+	c.shares = slices.Clip(c.shares[:len(s.Tenants)])
+}
+
+// spread has a table use buckets of another width; each one's samples stay together, at their mean.
+func (t *table) spread(width time.Duration) {
+	if t.width == width {
+		return
+	}
+	old := *t
+	t.width, t.stale, t.edge, t.high = width, true, 0, 0
+	t.count, t.sum = make([]float64, buckets), make([]float64, buckets)
+	for i, n := range old.count {
+		if n > 0 {
+			to := min(int(old.sum[i]/n/width.Seconds()), buckets-1)
+			t.count[to] += n
+			t.sum[to] += old.sum[i]
+		}
+	}
+}
--- /dev/null
+++ b/choice/rules_test.go
@@ -0,0 +1,88 @@
+package choice
+
+import (
+	"testing"
+	"time"
+)
+
+// Guards against open messages that follow new settings: fewer attempts, another effect, a class that
+// was dropped or whose place another has taken.
+func TestOpenMessagesKeepTheirTerms(t *testing.T) {
+	r := newRig(t, settings(), ready("a", 1, 0, 0))
+	r.step(arrival("safe", 0), arrival("unsafe", 2))
+	next := settings()
+	next.MaxAttempts = 1
+	next.Classes = []Class{{Name: "other", Aim: time.Second, Deadline: 5 * time.Second, Worth: 1, Effect: Unsafe},
+		{Name: "one more", Aim: time.Second, Deadline: 5 * time.Second, Worth: 1, Effect: Safe}}
+	acts := r.step(Reconfigured{next}, r.end("safe", "a", Error), r.end("unsafe", "a", Error))
+	if got := answers(acts); got != "fail unsafe;" {
+		t.Fatalf("answers %q, want only the unsafe message failed: it may have run, and was unsafe when it came", got)
+	}
+	for n := 2; n <= 4; n++ {
+		for len(sends(acts)) == 0 {
+			if acts = r.after(5 * ms); r.now > 2*time.Hour {
+				t.Fatalf("attempt %d of a message that came with 4 is not made", n)
+			}
+		}
+		acts = r.step(r.end("safe", "a", Error))
+	}
+	if got := answers(acts); got != "refuse safe;" {
+		t.Errorf("after its 4th attempt %q, want it refused", got)
+	}
+	r = newRig(t, settings(), ready("a", 1, 0, 0))
+	r.step(Reconfigured{next}, arrival("new", 0), arrival("newer", 1))
+	acts = r.step(r.end("new", "a", Error), r.end("newer", "a", Error))
+	if got := answers(acts); got != "fail new;refuse newer;" {
+		t.Errorf("new messages: %q, want both ended after one attempt, the unsafe one failed", got)
+	}
+}
+
+// Guards against settings that are taken in part, or break the relay: such as cannot be are not taken.
+func TestSettingsOutOfRangeAreNotTaken(t *testing.T) {
+	for name, spoil := range map[string]func(*Settings){
+		"no attempts": func(s *Settings) { s.MaxAttempts = 0 },
+		"no deadline": func(s *Settings) { s.Classes[0].Deadline = 0 },
+		"no classes":  func(s *Settings) { s.Classes = nil },
+		"no window":   func(s *Settings) { s.Classes[1].Window = 0 },
+	} {
+		r := newRig(t, settings(), ready("a", 1, 0, 0))
+		next := settings()
+		next.Workers = 1
+		spoil(&next)
+		if n := len(sends(r.step(Reconfigured{next}, arrival("m1", 0), arrival("m2", 0)))); n != 2 {
+			t.Errorf("%s: %d sends, want 2 under the old settings", name, n)
+		}
+	}
+}
+
+// A message restored from the record keeps what it came under, though its class is gone.
+func TestRestoredTerms(t *testing.T) {
+	r := newRig(t, settings(), ready("a", 1, 0, 0))
+	old := Class{Name: "old", Aim: time.Second, Deadline: 5 * time.Second, Worth: 1, Effect: Unsafe}
+	acts := r.step(Restored{Arrival: Arrival{ID: "m", Class: -1, Dest: 1, Left: 4 * time.Second}, Attempts: 1, Ran: true,
+		Terms: &Terms{old, 9}}, Restored{Arrival: Arrival{ID: "n", Class: -1, Dest: 1, Left: 4 * time.Second}, Attempts: 8,
+		Terms: &Terms{old, 9}})
+	if got := answers(acts); got != "fail m;" {
+		t.Errorf("answers %q, want the one failed that may have run", got)
+	}
+	if n := len(sends(acts)); n != 1 {
+		t.Errorf("%d sends, want the 9th attempt of the other", n)
+	}
+}
+
+// Guards against latencies lost, or misread, when the longest aim changes and with it the buckets.
+func TestTableIsSpreadAnew(t *testing.T) {
+	tab := table{width: 10 * ms, weight: 1}
+	for range 100 {
+		tab.add(155 * ms)
+	}
+	tab.look()
+	tab.spread(40 * ms)
+	if tab.look(); tab.edge != 160*ms {
+		t.Errorf("edge %v, want the end of the wider bucket, 160ms", tab.edge)
+	}
+	tab.spread(ms)
+	if tab.look(); tab.edge != 100*ms {
+		t.Errorf("edge %v, want the last bucket", tab.edge)
+	}
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -12,7 +12,8 @@
 // message is one message until its final answer and its last outcome.
 type message struct {
 	Arrival
-	class    *Class
+	class    *Class // that it came under
+	most     int    // attempts, likewise
 	dest     *dest
 	due      time.Duration // deadline
 	born     time.Duration // due less the class's deadline: first handed in
@@ -142,8 +143,8 @@
 	return slices.DeleteFunc(all, func(o T) bool { return o == one })
 }
 
-// check tells which setting is out of its range.
-func (s *Settings) check() error {
+// Check tells which setting is out of its range.
+func (s *Settings) Check() error {
 	switch {
 	case s.Workers < 1:
 		return fmt.Errorf("Workers is %d, must be at least 1", s.Workers)
@@ -161,6 +162,9 @@
 		return fmt.Errorf("Classes is empty, must hold at least one")
 	}
 	for i, k := range s.Classes {
+		if k.Effect == Keyed && k.Window <= 0 {
+			return fmt.Errorf("Classes[%d]: Window is %v, must be above 0 where repeats are dropped", i, k.Window)
+		}
 		if k.Aim <= 0 || k.Deadline < k.Aim {
 			return fmt.Errorf("Classes[%d]: Aim is %v, must be above 0 and at most Deadline %v", i, k.Aim, k.Deadline)
 		}
--- a/internal/relay/calls.go
+++ b/internal/relay/calls.go
@@ -203,7 +203,7 @@
 		defer resp.Body.Close()
 		body, rerr := io.ReadAll(io.LimitReader(resp.Body, maxBody)) // drained, so that the connection is kept
 		t.wait = retryAfter(resp.Header)
-		t.report = loadReport(resp.Header, r.set.ReportFields)
+		t.report = loadReport(resp.Header, r.set.Load().ReportFields)
 		if len(ids) > 1 && resp.StatusCode == http.StatusOK {
 			t.took = time.Since(begin)
 			if rerr == nil {
--- a/internal/relay/calls_test.go
+++ b/internal/relay/calls_test.go
@@ -15,10 +15,13 @@
 	"time"
 
 	"larchrouter/choice"
+	"larchrouter/internal/settings"
 )
 
 func caller() *Relay {
-	return &Relay{hostSide: newTransport(time.Second, time.Minute, 7, 64)}
+	r := &Relay{hostSide: newTransport(time.Second, time.Minute, 7, 64)}
+	r.set.Store(&standing{})
+	return r
 }
 
 func oneCall(addr, body string) *call {
@@ -220,7 +223,7 @@
 			w.Header().Set("X-Load", text)
 		}))
 		r := caller()
-		r.set.ReportFields = []string{"x1", "x0"}
+		r.set.Store(&standing{Settings: settings.Settings{ReportFields: []string{"x1", "x0"}}})
 		r.calls, r.inbox = context.Background(), make(chan func(), 1)
 		m := &message{entry: &entry{ID: "m1"}, due: time.Hour, over: true}
 		r.start(&call{host: &host{addr: s.Listener.Addr().String()}, members: []*message{m},
--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -23,35 +23,45 @@
 	DiskMB    float64
 	Known     list
 	Settings  settings.Settings
+
+	whole []byte // the file, against which the next one is checked
 }
 
-// ReadConfig reads the file that BALANCER_CONFIG names. The other variables win over it.
-func ReadConfig(env func(string) string) (Config, error) {
-	var c Config
-	path := env("BALANCER_CONFIG")
-	if path == "" {
-		return c, fmt.Errorf("BALANCER_CONFIG is not set")
+// file is the configuration as it stands on disk.
+type file struct {
+	Listen    string `json:"listen"`
+	Admin     string `json:"admin_addr"`
+	Discovery string `json:"discovery"`
+	Seed      string `json:"seed"`
+	Limits    struct {
+		Cores    float64 `json:"cores"`
+		MemoryMB float64 `json:"memory_mb"`
+		Sockets  int     `json:"sockets"`
+		DiskMB   float64 `json:"disk_mb"`
+	} `json:"limits"`
+	Known    list            `json:"known"`
+	Settings json.RawMessage `json:"settings"`
+}
+
+// readFile reads the file that BALANCER_CONFIG names.
+func readFile(env func(string) string) (path string, data []byte, f file, err error) {
+	if path = env("BALANCER_CONFIG"); path == "" {
+		return path, nil, f, fmt.Errorf("BALANCER_CONFIG is not set")
 	}
-	data, err := os.ReadFile(path)
-	if err != nil {
-		return c, fmt.Errorf("BALANCER_CONFIG: %w", err)
+	if data, err = os.ReadFile(path); err != nil {
+		return path, nil, f, fmt.Errorf("BALANCER_CONFIG: %w", err)
 	}
-	var f struct {
-		Listen    string `json:"listen"`
-		Admin     string `json:"admin_addr"`
-		Discovery string `json:"discovery"`
-		Seed      string `json:"seed"`
-		Limits    struct {
-			Cores    float64 `json:"cores"`
-			MemoryMB float64 `json:"memory_mb"`
-			Sockets  int     `json:"sockets"`
-			DiskMB   float64 `json:"disk_mb"`
-		} `json:"limits"`
-		Known    list            `json:"known"`
-		Settings json.RawMessage `json:"settings"`
+	if err = json.Unmarshal(data, &f); err != nil {
+		return path, nil, f, fmt.Errorf("%s: %w", path, err)
 	}
-	if err := json.Unmarshal(data, &f); err != nil {
-		return c, fmt.Errorf("%s: %w", path, err)
+	return path, data, f, nil
+}
+
+// ReadConfig reads the file that BALANCER_CONFIG names. The other variables win over it.
+func ReadConfig(env func(string) string) (Config, error) {
+	path, data, f, err := readFile(env)
+	if err != nil {
+		return Config{}, err
 	}
 	or := func(name, value string) string {
 		if v := env(name); v != "" {
@@ -59,9 +69,9 @@
 		}
 		return value
 	}
-	c = Config{Listen: or("BALANCER_LISTEN", f.Listen), Admin: or("BALANCER_ADMIN_ADDR", f.Admin), Discovery: or("BALANCER_DISCOVERY", f.Discovery),
+	c := Config{Listen: or("BALANCER_LISTEN", f.Listen), Admin: or("BALANCER_ADMIN_ADDR", f.Admin), Discovery: or("BALANCER_DISCOVERY", f.Discovery),
 		State: env("BALANCER_STATE"), Cores: f.Limits.Cores, MemoryMB: f.Limits.MemoryMB,
-		Sockets: f.Limits.Sockets, DiskMB: f.Limits.DiskMB, Known: f.Known}
+		Sockets: f.Limits.Sockets, DiskMB: f.Limits.DiskMB, Known: f.Known, whole: data}
 	for name, v := range map[string]string{"listen": c.Listen, "discovery": c.Discovery, "BALANCER_STATE": c.State} {
 		if v == "" {
 			return c, fmt.Errorf("%s: %s is missing", path, name)
@@ -82,22 +92,21 @@
 	return c, nil
 }
 
-// readDiscovery reads discovery's address from a configuration that was replaced while the
-// relay runs. The environment is as old as the process, so here the file wins.
-func readDiscovery(env func(string) string) (string, error) {
-	path := env("BALANCER_CONFIG")
-	data, err := os.ReadFile(path)
+// readNext reads a configuration that was put in place while the relay runs: all of it, or an
+// error. The environment is as old as the process, so here the file wins.
+func readNext(env func(string) string, running []byte) (data []byte, discovery string, set settings.Settings, err error) {
+	path, data, f, err := readFile(env)
 	if err != nil {
-		return "", fmt.Errorf("BALANCER_CONFIG: %w", err)
+		return nil, "", set, err
 	}
-	var f struct {
-		Discovery string `json:"discovery"`
+	if err = settings.Complete(running, data); err != nil {
+		return nil, "", set, fmt.Errorf("%s: %w", path, err)
 	}
-	if err := json.Unmarshal(data, &f); err != nil {
-		return "", fmt.Errorf("%s: %w", path, err)
+	if _, _, err = net.SplitHostPort(f.Discovery); err != nil {
+		return nil, "", set, fmt.Errorf("%s: discovery: %w", path, err)
 	}
-	if _, _, err := net.SplitHostPort(f.Discovery); err != nil {
-		return "", fmt.Errorf("%s: discovery: %w", path, err)
+	if set, err = settings.Parse(f.Settings); err != nil {
+		return nil, "", set, fmt.Errorf("%s: settings: %w", path, err)
 	}
-	return f.Discovery, nil
+	return data, f.Discovery, set, nil
 }
--- a/internal/relay/discovery.go
+++ b/internal/relay/discovery.go
@@ -81,20 +81,6 @@
 	p.valid, p.end = context.WithCancel(context.Background())
 }
 
-// Reload takes up discovery's address from a configuration that was replaced. On an error the
-// old address stands.
-func (r *Relay) Reload(env func(string) string) error {
-	addr, err := readDiscovery(env)
-	if err != nil {
-		return err
-	}
-	if old, _ := r.discovery.get(); addr != old {
-		r.discovery.set(addr)
-		r.platform.CloseIdleConnections()
-	}
-	return nil
-}
-
 // follow watches discovery until the context ends. The list counts as told
 // while the next call comes within 200 ms of the last answer, so a watch is
 // renewed at once; only failures are followed by a pause.
@@ -191,14 +177,14 @@
 
 // listed takes in news of the list: at once for the calls that have not gone yet, and for the decisions.
 func (r *Relay) listed(l list) {
-	ev := choice.Listing{Whole: l.Full}
+	ev, set := choice.Listing{Whole: l.Full}, r.set.Load()
 	r.version = l.Version
 	old := r.hosts
 	if l.Full {
 		r.hosts = map[string]*host{}
 	}
 	for _, s := range l.Servers {
-		h := choice.Host{Addr: s.ID, Dest: s.Cell, Kind: slices.Index(r.set.KindNames, s.Kind),
+		h := choice.Host{Addr: s.ID, Dest: s.Cell, Kind: slices.Index(set.KindNames, s.Kind),
 			Zone: r.zone(s.Zone), Rate: s.Weight}
 		switch s.State {
 		case "active":
@@ -221,7 +207,7 @@
 			was.closed.Store(true)
 		}
 		if h.Kind >= 0 {
-			n.perCall = r.set.Kinds[h.Kind].PerCall
+			n.perCall = set.Kinds[h.Kind].PerCall
 		}
 		n.closed.Store(h.State != choice.Ready || r.isOut(s.ID))
 		n.entry, n.listed = s, h.State
@@ -239,11 +225,12 @@
 }
 
 // zone is the number of a zone; one that the settings do not name gets the next.
+// A change of settings leaves the numbers as they are.
 func (r *Relay) zone(name string) int {
-	i := slices.Index(r.set.Zones, name)
+	i := slices.Index(r.zones, name)
 	if i < 0 {
-		i = len(r.set.Zones)
-		r.set.Zones = append(r.set.Zones, name)
+		i = len(r.zones)
+		r.zones = append(r.zones, name)
 	}
 	return i
 }
--- a/internal/relay/handover.go
+++ b/internal/relay/handover.go
@@ -447,11 +447,6 @@
 func (r *Relay) takePassed(l *link, v passed) {
 	in := &intake{entry: v.Take, due: r.now() + v.Left, ctx: r.calls, reply: make(chan answer, 1)}
 	answered := func(a answer) { l.send(returned{N: v.N, Status: a.status, After: a.after, Text: a.text}) }
-	var err error
-	if in.class, err = admit(&r.set, in.entry); err != nil {
-		answered(answer{status: 400, text: err.Error()})
-		return
-	}
 	r.take(in)
 	go func() {
 		select {
--- a/internal/relay/intake.go
+++ b/internal/relay/intake.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"larchrouter/choice"
-	"larchrouter/internal/settings"
 )
 
 const (
@@ -28,7 +27,6 @@
 // intake is a message that waits for the answer whether it is taken on.
 type intake struct {
 	entry *entry
-	class int
 	due   time.Duration
 	ctx   context.Context // of the client's request
 	reply chan answer
@@ -113,11 +111,9 @@
 	if !isName(e.ID) {
 		return bad("X-Request-Id is missing or malformed")
 	}
-	class := -1
-	var err error
 	if r.passedAt.Load() > 0 { // the next process may know others
 		w.Header().Set("Connection", "close")
-	} else if class, err = admit(&r.set, e); err != nil {
+	} else if _, err := admit(r.set.Load(), e, came); err != nil {
 		return bad(err.Error())
 	}
 	ms, err := strconv.ParseInt(req.Header.Get("X-Deadline-Ms"), 10, 64)
@@ -141,12 +137,12 @@
 	}
 	left := time.Duration(ms) * time.Millisecond
 	e.Due = time.Now().Add(left - (r.now() - came)).UnixMilli()
-	return &intake{entry: e, class: class, due: came + left, ctx: req.Context(), reply: make(chan answer, 1)}, 0, nil
+	return &intake{entry: e, due: came + left, ctx: req.Context(), reply: make(chan answer, 1)}, 0, nil
 }
 
 // admit finds the class of a message, and tells what its class wants of it.
-func admit(set *settings.Settings, e *entry) (class int, err error) {
-	class = slices.IndexFunc(set.Classes, func(k choice.Class) bool { return k.Name == e.Class })
+func admit(set *standing, e *entry, now time.Duration) (class int, err error) {
+	class = set.class(e.Class, now)
 	switch {
 	case class < 0:
 		return class, errors.New("X-Class is missing or unknown")
@@ -174,7 +170,8 @@
 
 // take decides with the next Step whether a message is taken on.
 func (r *Relay) take(in *intake) {
-	id := in.entry.ID
+	id, set := in.entry.ID, r.set.Load()
+	class, err := admit(set, in.entry, r.now())
 	refuse := answer{status: http.StatusServiceUnavailable, after: comeBack, text: "no room"}
 	switch {
 	case r.heir != nil:
@@ -191,18 +188,21 @@
 		}
 	case r.past.has(id):
 		in.reply <- answer{status: http.StatusAccepted}
+	case err != nil: // the class was dropped meanwhile, or came by way of the process before this one
+		in.reply <- answer{status: http.StatusBadRequest, text: err.Error()}
 	case !r.dests[in.entry.Dest]:
 		r.figures.ended(in.entry.Class, failedEnd)
 		in.reply <- answer{status: http.StatusNotFound, text: "unknown destination"}
-	case r.stopped || r.set.MaxHeld > 0 && len(r.held) >= r.set.MaxHeld || r.owed >= maxOwed:
+	case r.stopped || set.MaxHeld > 0 && len(r.held) >= set.MaxHeld || r.owed >= maxOwed:
 		r.figures.ended(in.entry.Class, refusedEnd)
 		in.reply <- refuse
 	default:
-		m := &message{entry: in.entry, class: in.class, due: in.due, fresh: []*intake{in}}
+		in.entry.Terms = &choice.Terms{Class: set.Classes[class], Attempts: set.MaxAttempts}
+		m := &message{entry: in.entry, due: in.due, fresh: []*intake{in}}
 		r.held[id] = m
 		r.fresh = append(r.fresh, m)
-		r.events = append(r.events, choice.Arrival{ID: id, Class: in.class, Dest: in.entry.Dest,
-			Left: in.due - r.now(), Tenant: slices.Index(r.set.TenantNames, in.entry.Tenant)})
+		r.events = append(r.events, choice.Arrival{ID: id, Class: class, Dest: in.entry.Dest,
+			Left: in.due - r.now(), Tenant: slices.Index(set.TenantNames, in.entry.Tenant)})
 	}
 }
 
--- a/internal/relay/journal.go
+++ b/internal/relay/journal.go
@@ -10,6 +10,8 @@
 	"os"
 	"path/filepath"
 	"time"
+
+	"larchrouter/choice"
 )
 
 // The journal is one append-only file of records: length, CRC32, JSON. What
@@ -32,23 +34,24 @@
 
 // entry is all that is needed to send a message again, or to end it.
 type entry struct {
-	ID     string `json:"id"`
-	Class  string `json:"class"`
-	Dest   int    `json:"dest"`
-	Tenant string `json:"tenant,omitempty"`
-	Key    string `json:"key,omitempty"`
-	Due    int64  `json:"due"`
-	Body   []byte `json:"body,omitempty"`
-	Tries  int    `json:"tries,omitempty"`
-	Wait   int64  `json:"wait,omitempty"` // time-out of the last try, ms
-	Ran    bool   `json:"ran,omitempty"`  // an attempt may have run
-	RanAt  int64  `json:"ran_at,omitempty"`
-	Zone   int    `json:"zone,omitempty"` // of the host that may have run it
-	Out    bool   `json:"out,omitempty"`  // the last try has no outcome
-	OutAt  int64  `json:"out_at,omitempty"`
-	OutTo  int    `json:"out_to,omitempty"` // zone of its host
-	Status string `json:"status,omitempty"` // of the notice that is owed
-	Again  int64  `json:"again,omitempty"`
+	ID     string        `json:"id"`
+	Class  string        `json:"class"`
+	Dest   int           `json:"dest"`
+	Tenant string        `json:"tenant,omitempty"`
+	Key    string        `json:"key,omitempty"`
+	Due    int64         `json:"due"`
+	Body   []byte        `json:"body,omitempty"`
+	Tries  int           `json:"tries,omitempty"`
+	Wait   int64         `json:"wait,omitempty"` // time-out of the last try, ms
+	Ran    bool          `json:"ran,omitempty"`  // an attempt may have run
+	RanAt  int64         `json:"ran_at,omitempty"`
+	Zone   int           `json:"zone,omitempty"` // of the host that may have run it
+	Out    bool          `json:"out,omitempty"`  // the last try has no outcome
+	OutAt  int64         `json:"out_at,omitempty"`
+	OutTo  int           `json:"out_to,omitempty"` // zone of its host
+	Terms  *choice.Terms `json:"terms,omitempty"`  // it came under
+	Status string        `json:"status,omitempty"` // of the notice that is owed
+	Again  int64         `json:"again,omitempty"`
 
 	size int64 // bytes that it takes in a compacted journal at most
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -18,7 +18,6 @@
 	"time"
 
 	"larchrouter/choice"
-	"larchrouter/internal/settings"
 )
 
 const (
@@ -31,7 +30,6 @@
 // message is one that this relay owes its end.
 type message struct {
 	*entry
-	class int
 	due   time.Duration
 	call  *call     // out now
 	fresh []*intake // its client still waits for an answer; more than one if it sent it twice
@@ -49,7 +47,7 @@
 // Relay is one relay. Fields below the channels belong to the loop.
 type Relay struct {
 	conf     Config
-	set      settings.Settings
+	set      atomic.Pointer[standing]
 	began    time.Time
 	server   *http.Server
 	listener *peers
@@ -82,10 +80,11 @@
 	wake    *time.Timer
 	wakeAt  time.Duration
 	woken   bool
-	out     int   // calls
-	owed    int   // notices
-	stopped bool  // no more decisions; outcomes are still recorded
-	version int64 // of the list
+	out     int      // calls
+	owed    int      // notices
+	stopped bool     // no more decisions; outcomes are still recorded
+	version int64    // of the list
+	zones   []string // in the order of Host.Zone
 
 	heritage    *heritage         // from the process before this one; nil if there was none
 	heirs       *net.UnixListener // where the next process asks; nil if it cannot
@@ -100,13 +99,14 @@
 // New replays the journal and listens; Serve does the rest.
 func New(conf Config) (r *Relay, err error) {
 	set := conf.Settings
-	r = &Relay{conf: conf, set: set, discovery: newPlatformAt(conf.Discovery), began: time.Now(),
+	r = &Relay{conf: conf, zones: set.Zones, discovery: newPlatformAt(conf.Discovery), began: time.Now(),
 		held: map[string]*message{}, hosts: map[string]*host{}, dests: map[int]bool{}, inbox: make(chan func(), 1024), notices: make(chan notice, 2*maxOwed),
 		quit: make(chan struct{}), wake: time.NewTimer(time.Hour)}
 	idle := set.IdleConn - min(500*time.Millisecond, set.IdleConn/4)
 	r.hostSide = newTransport(set.DialTimeout, idle, set.Workers, conf.Sockets/4)
 	r.platform = &http.Client{Transport: &http.Transport{DisableCompression: true, IdleConnTimeout: idleIn}}
 	r.calls, r.endCalls = context.WithCancelCause(context.Background())
+	r.set.Store((&standing{}).succeed(set, 0))
 	for _, k := range set.Classes {
 		r.figures.declare(k.Name)
 	}
@@ -330,21 +330,16 @@
 			// The process died before the outcome was recorded: it may have run.
 			r.record(record{Op: opOutcome, ID: id, Ran: true})
 		}
-		class := -1
-		for i, k := range r.set.Classes {
-			if k.Name == e.Class {
-				class = i
-			}
-		}
-		if class < 0 {
+		class := r.set.Load().class(e.Class, 0)
+		if class < 0 && e.Terms == nil { // taken on by a version that did not record them
 			r.give(&message{entry: e}, notice{e.ID, undeliverable, 0})
 			continue
 		}
-		m := &message{entry: e, class: class, due: r.now() + ms(e.Due-wall)}
+		m := &message{entry: e, due: r.now() + ms(e.Due-wall)}
 		r.held[id] = m
 		adopted := r.heritage.callOf(id)
 		ev := choice.Restored{Arrival: choice.Arrival{ID: id, Class: class, Dest: e.Dest, Left: ms(e.Due - wall),
-			Tenant: slices.Index(r.set.TenantNames, e.Tenant)},
+			Tenant: slices.Index(r.set.Load().TenantNames, e.Tenant)}, Terms: e.Terms,
 			Attempts: e.Tries, Timeout: ms(e.Wait), Ran: e.Ran, RanAgo: ms(wall - e.RanAt), RanZone: e.Zone}
 		if adopted != nil {
 			m.call = adopted
@@ -448,7 +443,7 @@
 		case choice.Send:
 			sends = append(sends, a)
 		case choice.Refuse:
-			r.final(a.ID, deferred, min(a.After, r.set.MaxRetryAfter))
+			r.final(a.ID, deferred, min(a.After, r.set.Load().MaxRetryAfter))
 		case choice.Fail:
 			r.final(a.ID, undeliverable, 0)
 		case choice.Cancel:
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -252,7 +252,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
 	held := make(chan int, 1)
-	in := &intake{entry: &entry{ID: "m1", Class: "payment", Dest: 7}, class: 2, due: r.now() + time.Second, ctx: ctx,
+	in := &intake{entry: &entry{ID: "m1", Class: "payment", Dest: 7}, due: r.now() + time.Second, ctx: ctx,
 		reply: make(chan answer, 1)}
 	r.post(func() { r.take(in); held <- len(r.held) })
 	want(t, "messages held", wait(t, held, "count"), 0)
@@ -437,6 +437,7 @@
 // Guards against calls held back, or let through, by a whole list: it closes just the hosts it leaves out.
 func TestWholeListClosesWhatIsMissing(t *testing.T) {
 	r := &Relay{hosts: map[string]*host{}, dests: map[int]bool{}, journal: &journal{}}
+	r.set.Store(&standing{})
 	r.listed(list{1, true, []server{at("s-1", "x:1", "taller"), at("s-2", "x:2", "taller"), at("s-3", "x:3", "taller")}})
 	one, two, three := r.hosts["s-1"], r.hosts["s-2"], r.hosts["s-3"]
 	r.listed(list{2, true, []server{at("s-1", "x:1", "taller"), at("s-3", "x:9", "taller")}})
--- /dev/null
+++ b/internal/relay/reload.go
@@ -0,0 +1,91 @@
+package relay
+
+import (
+	"fmt"
+	"log/slog"
+	"slices"
+	"time"
+
+	"larchrouter/choice"
+	"larchrouter/internal/settings"
+)
+
+// retiredFor is how long a class that the settings dropped is still taken: clients hear of a change
+// later than the relay does.
+const retiredFor = 2 * time.Second
+
+// standing are the settings in force. They are replaced, never changed.
+type standing struct {
+	settings.Settings
+	until []time.Duration // when a class that was dropped is no longer taken, by class; 0 for one in force
+}
+
+// class finds the class of a new message, or returns -1.
+func (s *standing) class(name string, now time.Duration) int {
+	i := slices.IndexFunc(s.Classes, func(k choice.Class) bool { return k.Name == name })
+	if i >= 0 && s.until[i] > 0 && now >= s.until[i] {
+		return -1
+	}
+	return i
+}
+
+// succeed returns the settings that follow on these: the classes that they drop come last.
+func (s *standing) succeed(next settings.Settings, now time.Duration) *standing {
+	n := &standing{next, make([]time.Duration, len(next.Classes))}
+	n.Classes = slices.Clone(next.Classes)
+	for i, k := range s.Classes {
+		until := s.until[i]
+		if until == 0 {
+			until = now + retiredFor
+		}
+		if now < until && !slices.ContainsFunc(n.Classes, func(c choice.Class) bool { return c.Name == k.Name }) {
+			n.Classes, n.until = append(n.Classes, k), append(n.until, until)
+		}
+	}
+	return n
+}
+
+// Reload takes up a configuration that was put in the old one's place: settings and discovery's
+// address. On an error all stays as it was.
+func (r *Relay) Reload(env func(string) string) (err error) {
+	defer func() { r.figures.reloaded(err) }()
+	data, discovery, set, err := readNext(env, r.conf.whole)
+	if err != nil {
+		return err
+	}
+	done := make(chan error, 1)
+	r.post(func() { done <- r.retune(set, discovery) })
+	select {
+	case err = <-done:
+	case <-r.quit:
+		err = fmt.Errorf("the relay stops")
+	}
+	if err == nil {
+		r.conf.whole = data
+	}
+	return err
+}
+
+// retune puts new settings in force, in the loop. What is open keeps those that it came under.
+func (r *Relay) retune(set settings.Settings, discovery string) error {
+	if r.heir != nil {
+		return errHandedOver
+	}
+	next := r.set.Load().succeed(set, r.now())
+	r.set.Store(next)
+	for _, k := range next.Classes {
+		r.figures.declare(k.Name)
+	}
+	r.events = append(r.events, choice.Reconfigured{Settings: next.Settings.Settings})
+	l := list{Version: r.version, Full: true} // kinds may have got other numbers
+	for _, h := range r.hosts {
+		l.Servers = append(l.Servers, h.entry)
+	}
+	r.listed(l)
+	if old, _ := r.discovery.get(); discovery != old {
+		r.discovery.set(discovery)
+		r.platform.CloseIdleConnections()
+		slog.Info("discovery has moved", "addr", discovery)
+	}
+	return nil
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -81,6 +82,63 @@
 	Zones     []string `json:"zones"`
 }
 
+// Complete tells what a configuration lacks that the running one has: whoever replaced it left it
+// unfinished. Of the objects in a list each must have what all have in the running one.
+func Complete(running, next json.RawMessage) error {
+	var a, b any
+	if err := json.Unmarshal(running, &a); err != nil {
+		return err
+	}
+	if err := json.Unmarshal(next, &b); err != nil {
+		return err
+	}
+	return lacks(a, b, "")
+}
+
+func lacks(running, next any, path string) error {
+	switch a := running.(type) {
+	case map[string]any:
+		b, ok := next.(map[string]any)
+		if !ok {
+			return fmt.Errorf("%s is no object", path)
+		}
+		for name, v := range a {
+			w, ok := b[name]
+			if !ok {
+				return fmt.Errorf("%s/%s is missing", path, name)
+			}
+			if err := lacks(v, w, path+"/"+name); err != nil {
+				return err
+			}
+		}
+	case []any:
+		b, ok := next.([]any)
+		if !ok {
+			return fmt.Errorf("%s is no list", path)
+		}
+		for i, v := range b {
+			for _, name := range common(a) {
+				if o, ok := v.(map[string]any); !ok || o[name] == nil {
+					return fmt.Errorf("%s[%d]/%s is missing", path, i, name)
+				}
+			}
+		}
+	}
+	return nil
+}
+
+// common has the names that all objects of a list have; none if it holds anything else.
+func common(list []any) (names []string) {
+	for i, v := range list {
+		o, _ := v.(map[string]any)
+		if i == 0 {
+			names = slices.Collect(maps.Keys(o))
+		}
+		names = slices.DeleteFunc(names, func(name string) bool { return o[name] == nil })
+	}
+	return names
+}
+
 // Parse reads the settings object.
 func Parse(data []byte) (Settings, error) {
 	var c config
@@ -111,6 +169,9 @@
 		if !ok {
 			return s, fmt.Errorf("classes: %q is no effect", k.Effect)
 		}
+		if k.Name == "" || slices.ContainsFunc(s.Classes, func(c choice.Class) bool { return c.Name == k.Name }) {
+			return s, fmt.Errorf("classes: the name %q is empty or stands twice", k.Name)
+		}
 		s.Classes = append(s.Classes, choice.Class{
 			Name: k.Name, Aim: seconds(k.Aim), Deadline: seconds(k.GiveUp), Worth: k.Worth,
 			LateShare: k.LateShare, Effect: effect, SameZone: k.Group != "all",
@@ -132,5 +193,5 @@
 		}
 		s.Kinds = append(s.Kinds, k)
 	}
-	return s, nil
+	return s, s.Check()
 }
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,67 @@
+package settings
+
+import (
+	"strings"
+	"testing"
+)
+
+const whole = `{"listen":"a:1","known":{"servers":[]},"settings":{"bounds":{"max-attempts":8},
+"classes":[{"name":"a","give-up":1},{"name":"b","give-up":2,"keep-order":true}],"skus":["x"]}}`
+
+// Guards against a configuration that is taken though it was left unfinished.
+func TestComplete(t *testing.T) {
+	for next, lacks := range map[string]string{
+		whole: "",
+		strings.Replace(whole, `{"name":"a","give-up":1},`, ``, 1):    "",
+		strings.Replace(whole, `"name":"a"`, `"name":"c","new":1`, 1): "",
+		strings.Replace(whole, `,"keep-order":true`, ``, 1):           "",
+		strings.Replace(whole, `"listen":"a:1",`, ``, 1):              "/listen is missing",
+		strings.Replace(whole, `"max-attempts":8`, ``, 1):             "/settings/bounds/max-attempts is missing",
+		strings.Replace(whole, `{"max-attempts":8}`, `8`, 1):          "/settings/bounds is no object",
+		strings.Replace(whole, `"name":"a",`, ``, 1):                  "/settings/classes[0]/name is missing",
+		strings.Replace(whole, `"give-up":2`, `"give-up":null`, 1):    "/settings/classes[1]/give-up is missing",
+		strings.Replace(whole, `{"name":"a","give-up":1}`, `7`, 1):    "/settings/classes[0]/",
+		strings.Replace(whole, `["x"]`, `"x"`, 1):                     "/settings/skus is no list",
+		strings.Replace(whole, `"settings"`, `"setting"`, 1):          "/settings is missing",
+		whole[:len(whole)/2]: "unexpected end of JSON input",
+		``:                   "unexpected end of JSON input",
+		`null`:               "is no object",
+	} {
+		err := Complete([]byte(whole), []byte(next))
+		if lacks == "" && err != nil || lacks != "" && (err == nil || !strings.Contains(err.Error(), lacks)) {
+			t.Errorf("%s: error %v, want %q", next, err, lacks)
+		}
+	}
+}
+
+const sample = `{"bounds":{"max-attempts":6,"most-held":50},"classes":[{"aim":2,"effect":"deduplicated","give-up":16,
+"group":"all","late-share":0.3,"name":"one","window":15,"worth":1}],"family-info":{"workers":7},"fleet-size":3,
+"rules":{"cold":13,"cold-from":0.2,"fall":2,"overload-factor":2},"tick":0.005}`
+
+// Guards against settings that are read though a figure is out of its range.
+func TestParseRejects(t *testing.T) {
+	if _, err := Parse([]byte(sample)); err != nil {
+		t.Fatal(err)
+	}
+	for what, change := range map[string][2]string{
+		"attempts":    {`"max-attempts":6`, `"max-attempts":0`},
+		"below 0":     {`"max-attempts":6`, `"max-attempts":-6`},
+		"deadline":    {`"give-up":16`, `"give-up":0`},
+		"negative":    {`"give-up":16`, `"give-up":-16`},
+		"no deadline": {`"give-up":16,`, ``},
+		"window":      {`"window":15,`, ``},
+		"effect":      {`deduplicated`, `sometimes`},
+		"name":        {`"name":"one"`, `"name":""`},
+		"a word":      {`"worth":1`, `"worth":"1"`},
+		"no class":    {`"classes"`, `"class"`},
+		"truncated":   {`"tick":0.005}`, `"tick":0.005`},
+	} {
+		text := strings.Replace(sample, change[0], change[1], 1)
+		if text == sample {
+			t.Fatalf("%s changes nothing", what)
+		}
+		if _, err := Parse([]byte(text)); err == nil {
+			t.Errorf("%s: read without an error", what)
+		}
+	}
+}
