choice, relay: the next process gets what was learnt, not only what is owed

Suspects: connections turned away (ruled out: 0 at the door in eight upgrades), a second outage (ruled out: the list of troubles has none then), calls broken as the old process ends (ruled out: no resets), empty latency tables and pace. The log shows units that were recovering being suspect anew at the hand-over, and the edge of a table with few samples follows chance.

Memory carries health, pace, limits, waits and tables as spans, to be told on the successor's clock.

--- a/choice/api.go
+++ b/choice/api.go
@@ -162,7 +162,7 @@
 func (Unwell) event()       {}
 func (ByHand) event()       {}
 func (Reconfigured) event() {}
-func (Waiting) event()      {}
+func (Memory) event()       {}
 func (Result) event()       {}
 func (Withdrawn) event()    {}
 func (Listing) event()      {}
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -67,8 +67,8 @@
 			c.unwell(e)
 		case ByHand:
 			c.byHand(e)
-		case Waiting:
-			c.waiting(e)
+		case Memory:
+			c.remember(e)
 		case Reconfigured:
 			c.reconfigure(e.Settings)
 		case Result:
--- /dev/null
+++ b/choice/memory_test.go
@@ -0,0 +1,87 @@
+package choice
+
+import (
+	"encoding/json"
+	"fmt"
+	"reflect"
+	"testing"
+	"time"
+)
+
+// Guards against a relay that forgets in an upgrade what it learnt: the successor, told what its
+// predecessor knew and has out, decides as that would have, on a clock of its own.
+func TestSuccessorDecidesAlike(t *testing.T) {
+	s := settings()
+	hosts := []Host{ready("a", 1, 1, 0), ready("b", 2, 0, 0), ready("c", 3, 2, 0), ready("d", 3, 2, 1)}
+	old := newRig(t, s, hosts...)
+	for i := range 300 {
+		m := arrival(fmt.Sprint("m", i), 0)
+		m.Dest = 1 + i%3
+		old.now += 20 * ms
+		for _, a := range sends(old.step(m)) {
+			o := Served
+			if a.Host == "b" && i > 200 {
+				o = Error
+			}
+			old.step(old.end(a.ID, a.Host, o, func(r *Result) { r.Took = time.Duration(20+i%40) * ms }))
+		}
+	}
+	last := arrival("out", 0)
+	last.Dest = 3
+	got := sends(old.step(last, Arrival{ID: "w", Class: 0, Dest: 1, Left: 9 * time.Second}))
+	if len(got) != 2 {
+		t.Fatalf("%d sends, want 2", len(got))
+	}
+	where := map[string]string{got[0].ID: got[0].Host, got[1].ID: got[1].Host}
+	old.step(old.end("w", where["w"], Refused, func(r *Result) { r.Wait = 700 * ms }))
+	old.now += 50 * ms
+
+	data, err := json.Marshal(old.c.Memory(old.now))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var m Memory
+	if err := json.Unmarshal(data, &m); err != nil {
+		t.Fatal(err)
+	}
+	next := newRig(t, s, hosts...)
+	next.now = 5 * time.Hour
+	next.step(m, Restored{Arrival: Arrival{ID: "out", Class: 0, Dest: 3, Left: 9 * time.Second}, Attempts: 1,
+		Timeout: old.c.msgs["out"].timeout, Out: &Running{Host: where["out"], Call: 1, Ago: 50 * ms}})
+	if next.c.busy != 1 {
+		t.Fatalf("%d slots taken, want that of the call that runs on", next.c.busy)
+	}
+	if n := next.c.hosts["b"].unit.state; n != suspect {
+		t.Errorf("state %d of a unit that failed, want it suspect", n)
+	}
+	before, after := old.c.Memory(old.now), next.c.Memory(next.now)
+	if !reflect.DeepEqual(before, after) {
+		t.Errorf("knows\n%+v\nwant\n%+v", after, before)
+	}
+	told := next.now
+	n := Arrival{ID: "n", Class: 0, Dest: 1, Left: 9 * time.Second}
+	for acts := next.step(n); len(sends(acts)) == 0; acts = next.after(5 * ms) {
+		if next.now-told > time.Minute {
+			t.Fatal("nothing is sent after the wait")
+		}
+	}
+	if next.now-told < 650*ms {
+		t.Errorf("sent %v after the hand-over, within a told wait", next.now-told)
+	}
+	if acts := next.step(next.end("out", where["out"], Served)); len(answers(acts)) != 0 || next.c.busy != 1 {
+		t.Errorf("answers %q and %d slots taken after the end of the call that ran on", answers(acts), next.c.busy)
+	}
+}
+
+// Guards against a panic on a memory that is damaged or of another version.
+func TestOddMemory(t *testing.T) {
+	r := newRig(t, settings(), ready("a", 1, 0, 0))
+	r.step(Memory{Units: []UnitMemory{{Host: "a", State: 9}, {Host: "b"}}, Hosts: []HostMemory{{Host: "b"}},
+		Dests: []DestMemory{{Dest: 9}, {Dest: 1, Table: TableMemory{Width: ms, Weight: 1, Count: []float64{1}}}},
+		Pool:  TableMemory{Width: ms, Weight: 2, Count: []float64{1}, Sum: []float64{1}},
+		Luck:  []float64{1, 1, 1, 1, 1}, Shares: []float64{1, 1, 1}}, arrival("m", 0))
+	r.step(r.end("m", "a", Served))
+	if got := len(sends(r.step(arrival("n", 0)))); got != 1 {
+		t.Errorf("%d sends, want 1", got)
+	}
+}
--- a/choice/restore.go
+++ b/choice/restore.go
@@ -1,7 +1,6 @@
 package choice
 
 import (
-	"cmp"
 	"slices"
 	"time"
 )
@@ -20,54 +19,6 @@
 	Out      *Running      // the last of them still runs, in the process that hands over; nil if none does
 }
 
-// Running is a call that an earlier process still has out. Its Result will come.
-type Running struct {
-	Host string
-	Call int           // the same for all messages of one call, above 0
-	Ago  time.Duration // since it went out
-}
-
-// adopt has a message out with the call that another process made. It takes the slots that it took there.
-func (c *Chooser) adopt(m *message, r *Running) {
-	h := c.hosts[r.Host]
-	u, d := h.unit, h.dest
-	i := slices.IndexFunc(u.outs, func(k *call) bool { return k.adopted == r.Call })
-	if i < 0 {
-		i = len(u.outs)
-		u.outs = append(u.outs, &call{host: h, sent: c.now - r.Ago, adopted: r.Call})
-		u.sends = append(u.sends, c.now-r.Ago)
-		c.busy, d.out, h.out = c.busy+1, d.out+1, h.out+1
-	}
-	m.call = u.outs[i]
-	m.call.members = append(m.call.members, m)
-	d.waiting = remove(d.waiting, m)
-	slices.SortStableFunc(u.outs, func(a, b *call) int { return cmp.Compare(a.sent, b.sent) })
-}
-
-// Waiting is a wait that an earlier process was told and that is not over: a hand-over does not end it.
-type Waiting struct {
-	Host string
-	Left time.Duration
-}
-
-func (c *Chooser) waiting(e Waiting) {
-	if h := c.hosts[e.Host]; h != nil {
-		h.unit.waitUntil = max(h.unit.waitUntil, c.now+e.Left)
-	}
-}
-
-// Waits has what is left of the waits that this relay was told.
-func (c *Chooser) Waits(now time.Duration) (all []Waiting) {
-	for _, d := range c.order {
-		for _, u := range d.units {
-			if left := u.waitUntil - now; left > 0 {
-				all = append(all, Waiting{u.name, left})
-			}
-		}
-	}
-	return all
-}
-
 // restore takes a message up where the earlier process left it. Its effect and
 // its attempts bind as if no restart had been; what may not go again is answered now.
 func (c *Chooser) restore(e Restored) {
--- a/internal/relay/handover.go
+++ b/internal/relay/handover.go
@@ -36,12 +36,12 @@
 
 // estate is what the next process needs besides the journal.
 type estate struct {
-	Version int64            `json:"version"`
-	Servers []server         `json:"servers"`
-	Gone    []server         `json:"gone"` // no longer listed, but with calls out
-	Waits   []choice.Waiting `json:"waits"`
-	Calls   []callOut        `json:"calls"`
-	Past    []string         `json:"past"` // ids that ended not long ago
+	Version int64         `json:"version"`
+	Servers []server      `json:"servers"`
+	Gone    []server      `json:"gone"` // no longer listed, but with calls out
+	Memory  choice.Memory `json:"memory"`
+	Calls   []callOut     `json:"calls"`
+	Past    []string      `json:"past"` // ids that ended not long ago
 }
 
 // callOut is a call that runs on in the process that handed over.
@@ -243,7 +243,7 @@
 }
 
 func (r *Relay) estate() estate {
-	e := estate{Version: r.version, Waits: r.chooser.Waits(r.now()), Past: r.past.all()}
+	e := estate{Version: r.version, Memory: r.chooser.Memory(r.now()), Past: r.past.all()}
 	listed := map[string]bool{}
 	for id, h := range r.hosts {
 		e.Servers = append(e.Servers, h.entry)
@@ -402,9 +402,7 @@
 	for _, id := range h.Past {
 		r.past.add(id)
 	}
-	for _, w := range h.Waits {
-		r.events = append(r.events, w)
-	}
+	r.events = append(r.events, h.Memory)
 }
 
 // attend follows the process before this one until it ends.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -350,6 +350,9 @@
 		r.events = append(r.events, ev)
 	}
 	for id, s := range r.journal.unwell {
+		if r.heritage != nil { // the decisions remember more
+			break
+		}
 		if time.Duration(wall-s.At)*time.Millisecond < forgetUnwell {
 			r.events = append(r.events, choice.Unwell{Host: id, Base: s.Base})
 		} else {
