--- a/internal/relay/handover.go
+++ b/internal/relay/handover.go
@@ -41,7 +41,8 @@
 	Gone    []server      `json:"gone"` // no longer listed, but with calls out
 	Memory  choice.Memory `json:"memory"`
 	Calls   []callOut     `json:"calls"`
-	Past    []string      `json:"past"` // ids that ended not long ago
+	Past    []string      `json:"past"`  // ids that ended not long ago
+	Peers   int           `json:"peers"` // connections that clients have here
 }
 
 // callOut is a call that runs on in the process that handed over.
@@ -178,7 +179,13 @@
 				conn.Close()
 				continue
 			}
-			r.post(func() { r.heirConn = conn })
+			r.post(func() {
+				if r.heir != nil || r.heirConn != nil {
+					conn.Close() // there is a next process already
+					return
+				}
+				r.heirConn = conn
+			})
 		}
 	}()
 }
@@ -243,7 +250,7 @@
 }
 
 func (r *Relay) estate() estate {
-	e := estate{Version: r.version, Memory: r.chooser.Memory(r.now()), Past: r.past.all()}
+	e := estate{Version: r.version, Memory: r.chooser.Memory(r.now()), Past: r.past.all(), Peers: r.listener.count()}
 	listed := map[string]bool{}
 	for id, h := range r.hosts {
 		e.Servers = append(e.Servers, h.entry)
@@ -427,6 +434,7 @@
 			for id := range h.calls {
 				r.endedBefore(h, endPassed{ID: id, Outcome: choice.Reset})
 			}
+			r.listener.allow(r.conf.Sockets / 2)
 			slog.Info("the process before this one has ended")
 		})
 	}()
--- a/internal/relay/handover_test.go
+++ b/internal/relay/handover_test.go
@@ -66,6 +66,12 @@
 	toldAt := time.Now()
 
 	next := upgrade(t, p, old)
+	next.listener.mu.Lock()
+	most := next.listener.most
+	next.listener.mu.Unlock()
+	if n := old.listener.count(); n == 0 || most+n > next.conf.Sockets/2 {
+		t.Errorf("clients hold %d sockets here and may hold %d there, of %d", n, most, next.conf.Sockets)
+	}
 	shows(t, next, "svc.attempts=0", "svc.in_flight=2", "svc.endpoints_known=3", "svc.endpoints_excluded=1",
 		"svc.requests.payment.served=0")
 	passed := post("m3")
--- a/internal/relay/peers.go
+++ b/internal/relay/peers.go
@@ -33,6 +33,20 @@
 	return &peers{Listener: l, most: most, open: map[*peer]struct{}{}}
 }
 
+// count tells how many connections there are.
+func (p *peers) count() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.open)
+}
+
+// allow sets how many there may be; those that are too many stay until they end.
+func (p *peers) allow(most int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.most = most
+}
+
 // Accept makes room for the connection that it returns.
 func (p *peers) Accept() (net.Conn, error) {
 	for {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -142,6 +142,8 @@
 	r.listener = newPeers(r.tcp, conf.Sockets/2)
 	r.server = newServer(r.handler(), r.listener)
 	if h := r.heritage; h != nil {
+		// Until the other process has ended the limit on sockets is for both.
+		r.listener.allow(max(conf.Sockets/8, conf.Sockets/2-h.Peers))
 		r.listed(list{h.Version, true, append(h.Servers, h.Gone...)})
 		r.adopt(h)
 		r.restore()
