relay: tests of what a change of the new parts would have broken unseen

Upgrades play beside kills in the test that nothing is lost or repeated. Taking single lines out showed four that no test missed: a new list opening an endpoint that is out for calls about to go, calls that connect long after a hand-over, ids of messages that ended before it, and kinds whose numbers change with the settings. Each has its test now, seen to fail without the line.

--- a/internal/relay/calls_test.go
+++ b/internal/relay/calls_test.go
@@ -104,6 +104,15 @@
 
 // Guards against sending over a connection that came up only after its host began to drain.
 func TestDrainWhileConnecting(t *testing.T) {
+	for name, while := range map[string]func(*Relay, *call){
+		"drains":               func(_ *Relay, c *call) { c.host.closed.Store(true) },
+		"handed over long ago": func(r *Relay, _ *call) { r.passedAt.Store(time.Now().Add(-lateCall).UnixNano()) },
+	} {
+		t.Run(name, func(t *testing.T) { drainWhileConnecting(t, while) })
+	}
+}
+
+func drainWhileConnecting(t *testing.T, while func(*Relay, *call)) {
 	var got atomic.Int32
 	s := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { got.Add(1) }))
 	defer s.Close()
@@ -111,7 +120,7 @@
 	c := oneCall(s.Listener.Addr().String(), "x")
 	dial := r.hostSide.DialContext
 	r.hostSide.DialContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
-		c.host.closed.Store(true)
+		while(r, c)
 		return dial(ctx, network, addr)
 	}
 	want(t, "outcome", outcome(r, context.Background(), c), choice.NotSent)
--- a/internal/relay/handover_test.go
+++ b/internal/relay/handover_test.go
@@ -91,6 +91,12 @@
 	}
 	out.answer <- 200
 	shows(t, next, "svc.requests.payment.served=3", "svc.attempts=2", "svc.in_flight=0")
+	after := upgrade(t, p, next)
+	status, _ := hand(t, after.Addr(), "m3", "payment")
+	want(t, "m3 once more, two processes on", status, 202)
+	shows(t, after, "svc.requests.payment.served=0", "svc.in_flight=0")
+	next.stop()
+	next = after
 	shows(t, old, "svc.requests.payment.served=0", "svc.attempts=2", "svc.in_flight=0")
 	if status, _ := operate(t, old, "PUT", "/endpoints/enable/s-2"); status != 503 {
 		t.Errorf("the process that handed over answers operators %d, want 503", status)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -438,9 +438,14 @@
 func TestWholeListClosesWhatIsMissing(t *testing.T) {
 	r := &Relay{hosts: map[string]*host{}, dests: map[int]bool{}, journal: &journal{}}
 	r.set.Store(&standing{})
+	r.journal.byHand = map[string]record{"s-4": {Ran: true}}
 	r.listed(list{1, true, []server{at("s-1", "x:1", "taller"), at("s-2", "x:2", "taller"), at("s-3", "x:3", "taller")}})
 	one, two, three := r.hosts["s-1"], r.hosts["s-2"], r.hosts["s-3"]
 	r.listed(list{2, true, []server{at("s-1", "x:1", "taller"), at("s-3", "x:9", "taller")}})
+	r.listed(list{Version: 3, Servers: []server{at("s-4", "x:4", "taller")}})
+	want(t, "the one that operators took out is closed", r.hosts["s-4"].closed.Load(), true)
+	r.listed(list{Version: 4, Servers: []server{at("s-4", "x:4", "taller")}})
+	want(t, "the one that operators took out is closed", r.hosts["s-4"].closed.Load(), true)
 	want(t, "the one that stays is closed", one.closed.Load(), false)
 	want(t, "the one left out is closed", two.closed.Load(), true)
 	want(t, "the one that moved is closed at its old place", three.closed.Load(), true)
@@ -717,9 +722,29 @@
 	}
 }
 
-// Guards the two rules that matter most across every kind of failure and two kills: what was taken on
-// ends, and what may not be repeated is not. Hosts answer, refuse, fail, break off and hang in turn.
-func TestNothingLostOrRepeatedAcrossKills(t *testing.T) {
+// Guards the two rules that matter most across every kind of failure and two kills, or two upgrades:
+// what was taken on ends, and what may not be repeated is not. Hosts answer, refuse, fail, break off
+// and hang in turn.
+func TestNothingLostOrRepeatedAcrossProcesses(t *testing.T) {
+	t.Run("kills", func(t *testing.T) {
+		acrossProcesses(t, func(old *exec.Cmd, next func() (*exec.Cmd, string)) (*exec.Cmd, string) {
+			old.Process.Kill()
+			old.Wait()
+			return next()
+		})
+	})
+	t.Run("upgrades", func(t *testing.T) {
+		acrossProcesses(t, func(old *exec.Cmd, next func() (*exec.Cmd, string)) (*exec.Cmd, string) {
+			cmd, addr := next()
+			if err := old.Process.Signal(syscall.SIGTERM); err != nil {
+				t.Error(err)
+			}
+			return cmd, addr
+		})
+	})
+}
+
+func acrossProcesses(t *testing.T, replace func(old *exec.Cmd, next func() (*exec.Cmd, string)) (*exec.Cmd, string)) {
 	const messages = 60
 	classes := []string{"job-order", "status-update", "payment"}
 	type run struct{ host, id string }
@@ -763,9 +788,7 @@
 	for n := range messages {
 		if n == messages/3 || n == 2*messages/3 {
 			wait(t, progress, "call")
-			cmd.Process.Kill()
-			cmd.Wait()
-			cmd, addr = process(t, p, state)
+			cmd, addr = replace(cmd, func() (*exec.Cmd, string) { return process(t, p, state) })
 		}
 		id := fmt.Sprint("m", n)
 		status, _ := hand(t, addr, id, classes[n%3], "X-Deadline-Ms", "2000")
--- a/internal/relay/reload.go
+++ b/internal/relay/reload.go
@@ -85,7 +85,7 @@
 	if old, _ := r.discovery.get(); discovery != old {
 		r.discovery.set(discovery)
 		r.platform.CloseIdleConnections()
-		slog.Info("discovery has moved", "addr", discovery)
+		slog.Info("discovery has moved", "to", discovery)
 	}
 	return nil
 }
--- a/internal/relay/reload_test.go
+++ b/internal/relay/reload_test.go
@@ -58,12 +58,16 @@
 	want(t, "class of a broken file", status, 400)
 
 	next := changed(t, whole, p.addr(), moved.addr(), `"max-attempts":6`, `"max-attempts":1`,
-		`"effect":"idempotent"`, `"effect":"at_most_once"`, `"name":"status-update"`, `"name":"dispatch"`)
+		`"effect":"idempotent"`, `"effect":"at_most_once"`, `"name":"status-update"`, `"name":"dispatch"`,
+		`"skus":["marketplace","customer-system"]`, `"skus":["customer-system","marketplace"]`)
 	if err := reload(t, r, next); err != nil {
 		t.Fatal(err)
 	}
 	shows(t, r, "svc.reloads_ok=1", "svc.reloads_failed=8", "svc.requests.dispatch.served=0")
 	want(t, "first query at the new address", wait(t, moved.asked, "query"), "")
+	perCall := make(chan int, 1)
+	r.post(func() { perCall <- r.hosts["s-1"].perCall })
+	want(t, "messages in a call to an endpoint whose kind has another number", wait(t, perCall, "number"), 5)
 	hand(t, r.Addr(), "new", "dispatch")
 	fresh := wait(t, calls, "call")
 	want(t, "id", fresh.id, "new")
