relay: new settings also hold for connections to hosts

Dial time-out, idle time and how many connections a host may keep were those of the start. New settings that change one of them get a transport of their own; calls under way keep theirs. Not chosen: looking the figures up for each dial, for the library reads its idle time once.

--- a/internal/relay/calls.go
+++ b/internal/relay/calls.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"larchrouter/choice"
+	"larchrouter/internal/settings"
 )
 
 var (
@@ -100,9 +101,9 @@
 
 func (b *onceBody) Close() error { return nil }
 
-// newTransport returns the client side towards hosts.
-func newTransport(dial, idle time.Duration, workers, conns int) *http.Transport {
-	d := &net.Dialer{Timeout: dial}
+// newTransport returns the client side towards hosts. It keeps so many idle connections at most.
+func newTransport(set *settings.Settings, conns int) *http.Transport {
+	d := &net.Dialer{Timeout: set.DialTimeout}
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 			c, err := d.DialContext(ctx, network, addr)
@@ -113,9 +114,9 @@
 		},
 		MaxIdleConns: conns,
 		// A host may get all of the slots at once; the library's 2 would close the rest after each call.
-		MaxIdleConnsPerHost: workers,
+		MaxIdleConnsPerHost: set.Workers,
 		// Hosts end idle connections; a request that crosses that is lost as a reset.
-		IdleConnTimeout:    idle,
+		IdleConnTimeout:    set.IdleConn - min(500*time.Millisecond, set.IdleConn/4),
 		DisableCompression: true,
 		// The library's 10 MB for each call would put the relay's memory in the hands of its hosts.
 		MaxResponseHeaderBytes: 16 << 10,
@@ -266,7 +267,7 @@
 		}
 	}
 	req.Header.Set("X-Deadline-Ms", strconv.FormatInt(max(1, c.timeout.Milliseconds()), 10))
-	resp, err = r.hostSide.RoundTrip(req)
+	resp, err = r.hostSide.Load().RoundTrip(req)
 	never = err != nil && !out.written.Load()
 	return resp, never, reused, gated, err
 }
--- a/internal/relay/calls_test.go
+++ b/internal/relay/calls_test.go
@@ -19,7 +19,10 @@
 )
 
 func caller() *Relay {
-	r := &Relay{hostSide: newTransport(time.Second, time.Minute, 7, 64)}
+	r := &Relay{}
+	set := settings.Settings{DialTimeout: time.Second, IdleConn: time.Minute}
+	set.Workers = 7
+	r.hostSide.Store(newTransport(&set, 64))
 	r.set.Store(&standing{})
 	return r
 }
@@ -118,8 +121,8 @@
 	defer s.Close()
 	r := caller()
 	c := oneCall(s.Listener.Addr().String(), "x")
-	dial := r.hostSide.DialContext
-	r.hostSide.DialContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
+	dial := r.hostSide.Load().DialContext
+	r.hostSide.Load().DialContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
 		while(r, c)
 		return dial(ctx, network, addr)
 	}
--- a/internal/relay/handover.go
+++ b/internal/relay/handover.go
@@ -211,8 +211,8 @@
 	r.journal.f.Close()
 	r.heirs.Close()
 	r.endPlatform()
-	r.tcp.Close()                     // the next process has the socket, and all in its queue
-	r.hostSide.CloseIdleConnections() // descriptors count for both processes together
+	r.tcp.Close()                            // the next process has the socket, and all in its queue
+	r.hostSide.Load().CloseIdleConnections() // descriptors count for both processes together
 	go func() {
 		hear(l, func(v returned) { r.post(func() { r.answered(v) }) })
 		r.post(r.heirGone)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -52,7 +52,7 @@
 	server   *http.Server
 	listener *peers
 	tcp      *net.TCPListener // under listener
-	hostSide *http.Transport
+	hostSide atomic.Pointer[http.Transport]
 	platform *http.Client
 	// discovery is where platform's requests go.
 	discovery *platformAt
@@ -102,8 +102,7 @@
 	r = &Relay{conf: conf, zones: set.Zones, discovery: newPlatformAt(conf.Discovery), began: time.Now(),
 		held: map[string]*message{}, hosts: map[string]*host{}, dests: map[int]bool{}, inbox: make(chan func(), 1024), notices: make(chan notice, 2*maxOwed),
 		quit: make(chan struct{}), wake: time.NewTimer(time.Hour)}
-	idle := set.IdleConn - min(500*time.Millisecond, set.IdleConn/4)
-	r.hostSide = newTransport(set.DialTimeout, idle, set.Workers, conf.Sockets/4)
+	r.hostSide.Store(newTransport(&set, conf.Sockets/4))
 	r.platform = &http.Client{Transport: &http.Transport{DisableCompression: true, IdleConnTimeout: idleIn}}
 	r.calls, r.endCalls = context.WithCancelCause(context.Background())
 	r.set.Store((&standing{}).succeed(set, 0))
@@ -559,7 +558,7 @@
 	}
 	m.call = nil
 	if r.heir != nil {
-		r.hostSide.CloseIdleConnections() // descriptors count for both processes together
+		r.hostSide.Load().CloseIdleConnections() // descriptors count for both processes together
 		r.heir.send(passed{End: &endPassed{m.ID, e.outcome, e.done, t.took, t.wait, t.report, t.stale}})
 		return
 	}
--- a/internal/relay/reload.go
+++ b/internal/relay/reload.go
@@ -71,8 +71,13 @@
 	if r.heir != nil {
 		return errHandedOver
 	}
-	next := r.set.Load().succeed(set, r.now())
+	was := r.set.Load()
+	next := was.succeed(set, r.now())
 	r.set.Store(next)
+	if set.DialTimeout != was.DialTimeout || set.IdleConn != was.IdleConn || set.Workers != was.Workers {
+		old := r.hostSide.Swap(newTransport(&set, r.conf.Sockets/4))
+		old.CloseIdleConnections() // those in use end when they have been idle for the old time
+	}
 	for _, k := range next.Classes {
 		r.figures.declare(k.Name)
 	}
--- a/internal/relay/reload_test.go
+++ b/internal/relay/reload_test.go
@@ -58,12 +58,13 @@
 	want(t, "class of a broken file", status, 400)
 
 	next := changed(t, whole, p.addr(), moved.addr(), `"max-attempts":6`, `"max-attempts":1`,
-		`"effect":"idempotent"`, `"effect":"at_most_once"`, `"name":"status-update"`, `"name":"dispatch"`,
+		`"effect":"idempotent"`, `"effect":"at_most_once"`, `"name":"status-update"`, `"name":"dispatch"`, `"conn-idle":5`, `"conn-idle":8`,
 		`"skus":["marketplace","customer-system"]`, `"skus":["customer-system","marketplace"]`)
 	if err := reload(t, r, next); err != nil {
 		t.Fatal(err)
 	}
 	shows(t, r, "svc.reloads_ok=1", "svc.reloads_failed=8", "svc.requests.dispatch.served=0")
+	want(t, "idle time of connections to hosts", r.hostSide.Load().IdleConnTimeout, 7500*time.Millisecond)
 	want(t, "first query at the new address", wait(t, moved.asked, "query"), "")
 	perCall := make(chan int, 1)
 	r.post(func() { perCall <- r.hosts["s-1"].perCall })
