relay: a process that stops also waits for the calls of the one before it

Of three processes in a row the middle one could end while the first still had calls out; the third then took them for broken, though they ran on.

--- a/internal/relay/handover_test.go
+++ b/internal/relay/handover_test.go
@@ -150,3 +150,38 @@
 	out.answer <- 200
 	shows(t, next, "svc.requests.payment.served=1", "svc.in_flight=0")
 }
+
+// Guards against a process that ends between the one before it, which has calls out, and the next
+// one, which waits for their ends: both would take those calls for broken.
+func TestStopWaitsForCallsOfAllProcesses(t *testing.T) {
+	for _, c := range []struct {
+		name                      string
+		out, adopted, asked, held int
+		passed, stopped, idle     bool
+	}{
+		{name: "nothing", idle: true},
+		{name: "a call", out: 1, held: 1, stopped: true},
+		{name: "a message", held: 1},
+		{name: "a message, past sending", held: 1, stopped: true, idle: true},
+		{name: "a call of the process before", adopted: 1, held: 1, stopped: true},
+		{name: "the same, handed over", adopted: 1, held: 1, passed: true, stopped: true},
+		{name: "an answer to pass back", asked: 1, held: 1, passed: true, stopped: true},
+		{name: "messages of the next process", held: 1, passed: true, idle: true},
+	} {
+		r := &Relay{out: c.out, stopped: c.stopped, heritage: &heritage{calls: map[string]*call{}},
+			held: map[string]*message{}, asked: map[int64]*intake{}}
+		if c.passed {
+			r.heir = &link{}
+		}
+		for i := range c.adopted {
+			r.heritage.calls[fmt.Sprint("m", i)] = &call{}
+		}
+		for i := range c.asked {
+			r.asked[int64(i)] = &intake{}
+		}
+		for i := range c.held {
+			r.held[fmt.Sprint("m", i)] = &message{}
+		}
+		want(t, c.name, r.idle(), c.idle)
+	}
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -239,11 +239,7 @@
 	for {
 		r.post(func() {
 			r.stopped = r.stopped || time.Since(begin) >= stopSending
-			done := r.stopped || len(r.held)+r.owed == 0
-			if r.heir != nil { // what this process still holds for the next one
-				done = len(r.asked) == 0
-			}
-			if r.out == 0 && done {
+			if r.idle() {
 				select {
 				case idle <- struct{}{}:
 				default:
@@ -263,6 +259,18 @@
 	r.stop()
 }
 
+// idle tells whether nothing is left that a relay which stops should wait for.
+func (r *Relay) idle() bool {
+	out := r.out
+	if r.heritage != nil { // the process before this one may have calls out, whose ends come here
+		out += len(r.heritage.calls)
+	}
+	if r.heir != nil {
+		return out == 0 && len(r.asked) == 0
+	}
+	return out == 0 && (r.stopped || len(r.held)+r.owed == 0)
+}
+
 // stop ends the relay as it is; the journal has the rest.
 func (r *Relay) stop() { r.once.Do(func() { close(r.quit) }) }
 
