relay: calls that end with the old process count as called off, not as resets of their host

They may have run, as before, but were broken off on this side; a call that was silent for long still tells so by its time.

--- a/internal/relay/handover.go
+++ b/internal/relay/handover.go
@@ -435,16 +435,21 @@
 			})
 		})
 		r.post(func() {
-			// Its connections broke with it.
-			for id := range h.calls {
-				r.endedBefore(h, endPassed{ID: id, Outcome: choice.Reset})
-			}
+			r.orphaned(h)
 			r.listener.allow(r.conf.Sockets / 2)
 			slog.Info("the process before this one has ended")
 		})
 	}()
 }
 
+// orphaned ends the calls that were still out as the process before this one ended. They may have
+// run, but were broken off on this side: that is not held against their hosts as a reset would be.
+func (r *Relay) orphaned(h *heritage) {
+	for id, c := range h.calls {
+		r.endedBefore(h, endPassed{ID: id, Outcome: choice.Cancelled, Took: time.Since(c.began)})
+	}
+}
+
 // endedBefore takes in how an attempt ended that the process before this one had out.
 func (r *Relay) endedBefore(h *heritage, e endPassed) {
 	c := h.calls[e.ID]
--- a/internal/relay/handover_test.go
+++ b/internal/relay/handover_test.go
@@ -9,6 +9,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"larchrouter/choice"
 )
 
 // upgrade starts the next process of a relay beside it.
@@ -185,3 +187,18 @@
 		want(t, c.name, r.idle(), c.idle)
 	}
 }
+
+// Guards against hosts that are taken for broken because a process of this relay ended.
+func TestCallsOfAProcessThatEndedAreCalledOff(t *testing.T) {
+	c := &call{host: &host{id: "s-1"}, began: time.Now().Add(-time.Minute)}
+	m := &message{entry: &entry{ID: "m1"}, call: c}
+	h := &heritage{calls: map[string]*call{"m1": c}}
+	r := &Relay{heritage: h, held: map[string]*message{"m1": m}}
+	r.orphaned(h)
+	want(t, "events", len(r.events), 1)
+	e := r.events[0].(choice.Result)
+	want(t, "outcome", e.Outcome, choice.Cancelled)
+	want(t, "took", e.Took >= time.Minute, true)
+	want(t, "it may have run", r.records[0], record{Op: opOutcome, ID: "m1", Ran: true})
+	want(t, "calls left", len(h.calls), 0)
+}
