--- a/choice/choice.go
+++ b/choice/choice.go
@@ -426,7 +426,11 @@
 	cold := c.set.Rules.Cold.Seconds()
 	u.served = u.served*math.Exp(-(c.now-u.lastServed).Seconds()/cold) + 1/cold
 	short := u.bad == 0 || !u.errors && c.now-u.lastServed < c.set.Rules.Fall
-	u.lastServed, u.bad = c.now, 0
+	u.lastServed = c.now
+	if u.state == suspect && c.now < u.waitUntil {
+		return // sent before the wait was told: it says nothing of what comes back after that
+	}
+	u.bad = 0
 	u.streak++
 	u.note(false)
 	switch {
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -766,3 +766,32 @@
 		t.Errorf("%d destinations and %d hosts remembered after all left", len(r.c.dests), len(r.c.hosts))
 	}
 }
+
+// Guards against a shut destination that is pushed over as it opens, cold: the answer of a call that went
+// out before it shut, and comes while the told wait runs, is no sign that it is well.
+func TestAnswerFromBeforeAWaitIsNoRecovery(t *testing.T) {
+	s := settings()
+	s.Workers, s.MaxHeld = 100, 1000
+	r := newRig(t, s, ready("a", 1, 0, 0))
+	if n := len(sends(r.step(arrival("before", 0), arrival("refused", 0)))); n != 2 {
+		t.Fatalf("%d sends, want 2", n)
+	}
+	r.now += 50 * ms
+	r.step(r.end("refused", "a", Refused, func(e *Result) { e.Wait = 5 * time.Second }))
+	r.now += 50 * ms
+	r.step(r.end("before", "a", Served))
+	for i := range 300 {
+		r.step(arrival(fmt.Sprint("m", i), 0))
+	}
+	r.after(4800 * ms)
+	var sent int
+	for range 400 { // 2 s: its share of the cold budget is 0.9 x 2 x 0.36 x 100 x 2 s / 2 at most
+		for _, a := range sends(r.after(5 * ms)) {
+			sent++
+			r.step(r.end(a.ID, "a", Served))
+		}
+	}
+	if sent == 0 || sent > 65 {
+		t.Errorf("%d calls in the first 2 s after the wait, want what a cold destination may get", sent)
+	}
+}
