choice: only waits longer than a limit's keep old answers from ending a suspicion

Ordinary limits tell waits of up to the rule's window, which make a unit suspect too; with the mend it then had to recover for twelve seconds, though answers showed it well. A shut destination tells longer ones.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -427,8 +427,8 @@
 	u.served = u.served*math.Exp(-(c.now-u.lastServed).Seconds()/cold) + 1/cold
 	short := u.bad == 0 || !u.errors && c.now-u.lastServed < c.set.Rules.Fall
 	u.lastServed = c.now
-	if u.state == suspect && c.now < u.waitUntil {
-		return // sent before the wait was told: it says nothing of what comes back after that
+	if u.state == suspect && c.now+c.set.Rules.Fall < u.waitUntil {
+		return // sent before a wait longer than a limit's: it says nothing of what comes back after that
 	}
 	u.bad = 0
 	u.streak++
