choice: plain state moves out of the policy files, no decision changes

Moved to state.go: how a table takes other bucket widths, and the count of excluded endpoints that /metrics shows.

--- a/choice/hand.go
+++ b/choice/hand.go
@@ -87,15 +87,3 @@
 	}
 	return n
 }
-
-// Excluded counts the endpoints on the list that get no messages, by hand or by choice; those that
-// get single trials are among them.
-func (c *Chooser) Excluded() int {
-	n := 0
-	for _, h := range c.hosts {
-		if h.State != Gone && (c.out[h.Addr] || h.unit.state == suspect) {
-			n++
-		}
-	}
-	return n
-}
--- a/choice/rules.go
+++ b/choice/rules.go
@@ -3,7 +3,6 @@
 import (
 	"math"
 	"slices"
-	"time"
 )
 
 // Settings that change while messages are open.
@@ -46,20 +45,3 @@
 	}
 	c.shares = slices.Clip(c.shares[:len(s.Tenants)])
 }
-
-// spread has a table use buckets of another width; each one's samples stay together, at their mean.
-func (t *table) spread(width time.Duration) {
-	if t.width == width {
-		return
-	}
-	old := *t
-	t.width, t.stale, t.edge, t.high = width, true, 0, 0
-	t.count, t.sum = make([]float64, buckets), make([]float64, buckets)
-	for i, n := range old.count {
-		if n > 0 {
-			to := min(int(old.sum[i]/n/width.Seconds()), buckets-1)
-			t.count[to] += n
-			t.sum[to] += old.sum[i]
-		}
-	}
-}
--- a/choice/state.go
+++ b/choice/state.go
@@ -143,6 +143,35 @@
 	cold    map[string]time.Duration // when operators gave an endpoint back
 }
 
+// spread has a table use buckets of another width; each one's samples stay together, at their mean.
+func (t *table) spread(width time.Duration) {
+	if t.width == width {
+		return
+	}
+	old := *t
+	t.width, t.stale, t.edge, t.high = width, true, 0, 0
+	t.count, t.sum = make([]float64, buckets), make([]float64, buckets)
+	for i, n := range old.count {
+		if n > 0 {
+			to := min(int(old.sum[i]/n/width.Seconds()), buckets-1)
+			t.count[to] += n
+			t.sum[to] += old.sum[i]
+		}
+	}
+}
+
+// Excluded counts the endpoints on the list that get no messages, by hand or by choice; those that
+// get single trials are among them.
+func (c *Chooser) Excluded() int {
+	n := 0
+	for _, h := range c.hosts {
+		if h.State != Gone && (c.out[h.Addr] || h.unit.state == suspect) {
+			n++
+		}
+	}
+	return n
+}
+
 // remove deletes one element.
 func remove[T comparable](all []T, one T) []T {
 	return slices.DeleteFunc(all, func(o T) bool { return o == one })
