A repeat that cannot be written within its window does not go out

In the relay's log the message 2c11.. goes out again 6.55 s after its first attempt, within the window of 7.5 s; the call takes 1.25 s, for its endpoint was cut off and the connection came up late. Its last byte was written 7.8 s after the first.

Lines: send() in internal/relay/calls.go, whose GotConn asked only whether the host drains by then.

Now a Send of a keyed message that may have run says by when it must have gone. A connection that comes up later ends unused, and the bytes have that time as their deadline. The message is given back at once.

--- a/choice/api.go
+++ b/choice/api.go
@@ -180,6 +180,9 @@
 	ID      string
 	Host    string
 	Timeout time.Duration
+	// Before is the time by which a repeat must have gone out whole, or it must not go: after that
+	// nobody drops it. 0 for one that may go at any time.
+	Before time.Duration
 }
 
 // Refuse ends a message: it did not run, and the client may safely come again,
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -777,7 +777,11 @@
 	m.attempts++
 	m.call = k
 	k.members = append(k.members, m)
-	c.act(Send{m.ID, k.host.Addr, m.timeout})
+	s := Send{ID: m.ID, Host: k.host.Addr, Timeout: m.timeout}
+	if m.ran && m.class.Effect == Keyed {
+		s.Before = c.windowEnd(m)
+	}
+	c.act(s)
 }
 
 // fits tells whether a message may go to a host now, room in its unit apart.
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -217,6 +217,9 @@
 		if s.Host != first {
 			t.Errorf("resent to %s, outside the zone of %s", s.Host, first)
 		}
+		if want := r.now - 2850*ms + 3*time.Second; s.Before != want {
+			t.Errorf("the repeat must have gone by %v, want %v: the window from the first attempt on", s.Before, want)
+		}
 	}
 	if len(sends(acts)) != 1 {
 		t.Fatalf("%d sends within the window, want 1", len(sends(acts)))
--- a/internal/relay/calls.go
+++ b/internal/relay/calls.go
@@ -37,6 +37,7 @@
 	key     string
 	size    int           // of its members' frames
 	timeout time.Duration // the longest of its members'
+	before  time.Time     // its last byte must be written by then; zero for at any time
 	cancel  context.CancelCauseFunc
 }
 
@@ -130,6 +131,9 @@
 	for i, m := range c.members {
 		m.call = c
 		c.timeout = max(c.timeout, c.sends[i].Timeout)
+		if b := c.sends[i].Before; b > 0 && (c.before.IsZero() || r.began.Add(b).Before(c.before)) {
+			c.before = r.began.Add(b)
+		}
 	}
 	if len(c.members) == 1 {
 		c.body, c.key = c.members[0].Body, c.members[0].Key
@@ -245,10 +249,15 @@
 				conn.sending.Store(out)
 			}
 			reused = i.Reused
-			// It may have taken long to come up: nothing new goes to a host that drains by now.
-			if gated = c.host.closed.Load() || r.late(); gated {
+			// It may have taken long to come up: nothing new goes to a host that drains by now, and no
+			// repeat that its host would no longer know for one. The deadline holds for what a slow
+			// host leaves unread of it, and a kept connection still has that of the call before.
+			expired := !c.before.IsZero() && !time.Now().Before(c.before)
+			if gated = c.host.closed.Load() || r.late() || expired; gated {
 				i.Conn.Close()
+				return
 			}
+			i.Conn.SetWriteDeadline(c.before)
 		},
 	})
 	path := "/receive"
--- a/internal/relay/calls_test.go
+++ b/internal/relay/calls_test.go
@@ -105,10 +105,12 @@
 	want(t, "outcome", outcome(caller(), context.Background(), oneCall(addr, "x")), choice.NoConnection)
 }
 
-// Guards against sending over a connection that came up only after its host began to drain.
+// Guards against sending over a connection that came up only after its host began to drain, or once a
+// repeat would be taken for a new message.
 func TestDrainWhileConnecting(t *testing.T) {
 	for name, while := range map[string]func(*Relay, *call){
 		"drains":               func(_ *Relay, c *call) { c.host.closed.Store(true) },
+		"no longer a repeat":   func(_ *Relay, c *call) { c.before = time.Now().Add(-time.Nanosecond) },
 		"handed over long ago": func(r *Relay, _ *call) { r.passedAt.Store(time.Now().Add(-lateCall).UnixNano()) },
 	} {
 		t.Run(name, func(t *testing.T) { drainWhileConnecting(t, while) })
@@ -130,6 +132,42 @@
 	want(t, "requests", got.Load(), 0)
 }
 
+// deadlines remembers the last one set for writing.
+type deadlines struct {
+	net.Conn
+	last atomic.Pointer[time.Time]
+}
+
+func (d *deadlines) SetWriteDeadline(t time.Time) error {
+	d.last.Store(&t)
+	return d.Conn.SetWriteDeadline(t)
+}
+
+// Guards against a repeat whose last byte is written after its window, to a host that reads slowly; and
+// against the next call on that connection failing by that deadline.
+func TestRepeatIsNotWrittenAfterItsWindow(t *testing.T) {
+	s := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	defer s.Close()
+	r, addr := caller(), s.Listener.Addr().String()
+	dial := r.hostSide.Load().DialContext
+	var conns []*deadlines
+	r.hostSide.Load().DialContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		conn, err := dial(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		conns = append(conns, &deadlines{Conn: conn})
+		return conns[len(conns)-1], nil
+	}
+	c := oneCall(addr, "x")
+	c.before = time.Now().Add(time.Hour)
+	want(t, "outcome within the window", outcome(r, context.Background(), c), choice.Served)
+	want(t, "deadline of a repeat", *conns[0].last.Load(), c.before)
+	want(t, "outcome of the next call", outcome(r, context.Background(), oneCall(addr, "x")), choice.Served)
+	want(t, "connections", len(conns), 1)
+	want(t, "deadline of the next call", *conns[0].last.Load(), time.Time{})
+}
+
 // Guards against mixing up the ends of a call that nobody answers.
 func TestUnansweredCalls(t *testing.T) {
 	came := make(chan bool, 10)
