A call that gets its connection during a told wait does not go

Ruled out: the decisions (room() asks for the wait before each send), the order of results and sends in one turn.

Now endpoints share what their destination has told, as soon as an answer's head is read, and a connection that comes up during the wait ends unused. The decisions hear how much of it is left.

--- a/internal/relay/calls.go
+++ b/internal/relay/calls.go
@@ -208,6 +208,7 @@
 		defer resp.Body.Close()
 		body, rerr := io.ReadAll(io.LimitReader(resp.Body, maxBody)) // drained, so that the connection is kept
 		t.wait = retryAfter(resp.Header)
+		c.host.waiting.heed(r.now() + t.wait)
 		t.report = loadReport(resp.Header, r.set.Load().ReportFields)
 		if len(ids) > 1 && resp.StatusCode == http.StatusOK {
 			t.took = time.Since(begin)
@@ -223,10 +224,11 @@
 			return ends, t
 		}
 	}
-	t.wait, t.report = 0, nil
+	t.report = nil // what came with an answer that was cut off is not relied on, but for the wait
 	t.stale = resp == nil && reused && time.Since(sent) < staleIn
 	switch cause := context.Cause(ctx); {
 	case gated:
+		t.wait = c.host.waiting.left(r.now())
 		return all(choice.NotSent), t
 	case never:
 		return all(choice.NoConnection), t
@@ -249,11 +251,12 @@
 				conn.sending.Store(out)
 			}
 			reused = i.Reused
-			// It may have taken long to come up: nothing new goes to a host that drains by now, and no
-			// repeat that its host would no longer know for one. The deadline holds for what a slow
-			// host leaves unread of it, and a kept connection still has that of the call before.
+			// It may have taken long to come up: nothing new goes to a host that drains or has told to
+			// wait by now, and no repeat that its host would no longer know for one. The deadline holds
+			// for what a slow host leaves unread of it, and a kept connection still has that of the call
+			// before.
 			expired := !c.before.IsZero() && !time.Now().Before(c.before)
-			if gated = c.host.closed.Load() || r.late() || expired; gated {
+			if gated = c.host.closed.Load() || c.host.waiting.left(r.now()) > 0 || r.late() || expired; gated {
 				i.Conn.Close()
 				return
 			}
--- a/internal/relay/calls_test.go
+++ b/internal/relay/calls_test.go
@@ -19,7 +19,7 @@
 )
 
 func caller() *Relay {
-	r := &Relay{}
+	r := &Relay{began: time.Now()}
 	set := settings.Settings{DialTimeout: time.Second, IdleConn: time.Minute}
 	set.Workers = 7
 	r.hostSide.Store(newTransport(&set, 64))
@@ -28,7 +28,7 @@
 }
 
 func oneCall(addr, body string) *call {
-	return &call{host: &host{addr: addr}, body: []byte(body), key: "k", timeout: 20 * time.Second}
+	return &call{host: &host{addr: addr, waiting: &waiting{}}, body: []byte(body), key: "k", timeout: 20 * time.Second}
 }
 
 func outcome(r *Relay, ctx context.Context, c *call) choice.Outcome {
@@ -105,11 +105,12 @@
 	want(t, "outcome", outcome(caller(), context.Background(), oneCall(addr, "x")), choice.NoConnection)
 }
 
-// Guards against sending over a connection that came up only after its host began to drain, or once a
-// repeat would be taken for a new message.
+// Guards against sending over a connection that came up only after its host began to drain or told another
+// call to wait, or once a repeat would be taken for a new message.
 func TestDrainWhileConnecting(t *testing.T) {
 	for name, while := range map[string]func(*Relay, *call){
 		"drains":               func(_ *Relay, c *call) { c.host.closed.Store(true) },
+		"tells to wait":        func(r *Relay, c *call) { c.host.waiting.heed(r.now() + time.Hour) },
 		"no longer a repeat":   func(_ *Relay, c *call) { c.before = time.Now().Add(-time.Nanosecond) },
 		"handed over long ago": func(r *Relay, _ *call) { r.passedAt.Store(time.Now().Add(-lateCall).UnixNano()) },
 	} {
@@ -243,7 +244,7 @@
 	r := caller()
 	r.began, r.inbox = time.Now(), make(chan func(), 1)
 	r.calls = context.Background()
-	c := &call{host: &host{addr: s.Listener.Addr().String()}}
+	c := &call{host: &host{addr: s.Listener.Addr().String(), waiting: &waiting{}}}
 	ids := []string{"a", "b", "c", "d", "e", "f"}
 	for _, id := range ids {
 		c.members = append(c.members, &message{entry: &entry{ID: id, Key: strings.Repeat("k", len(c.members)), Body: []byte("\r\n" + id)},
@@ -265,6 +266,26 @@
 	want(t, "end of the fifth", r.events[4].(choice.Result).Done, false)
 }
 
+// Guards against a wait that is forgotten because the rest of the answer that told it was cut off, and one
+// told to messages that are over by then: nothing may go there all the same.
+func TestWaitOfACutAnswerIsKept(t *testing.T) {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Retry-After", "1000")
+		w.Header().Set("Content-Length", "100")
+		io.WriteString(w, "a ok\r\n") // and no more: the library breaks the connection
+	}))
+	defer s.Close()
+	r, c := caller(), oneCall(s.Listener.Addr().String(), "x")
+	ends, told := r.exchange(context.Background(), c, []string{"a", "b"})
+	want(t, "outcome", ends[0].outcome, choice.Reset)
+	want(t, "wait", told.wait, 1000*time.Second)
+	ends, told = r.exchange(context.Background(), c, []string{"c"})
+	want(t, "outcome of the next call", ends[0].outcome, choice.NotSent)
+	if told.wait <= 0 || told.wait > 1000*time.Second {
+		t.Errorf("the decisions hear of %v to wait, want what is left of 1000s", told.wait)
+	}
+}
+
 // Guards against decisions that never hear the limits that hosts tell in their answers.
 func TestLoadReportReachesTheDecisions(t *testing.T) {
 	for text, want := range map[string][]float64{`{"x0":0.4,"x1":25}`: {25, 0.4}, `{"x1":3,"other":1}`: {3, 0},
@@ -276,7 +297,7 @@
 		r.set.Store(&standing{Settings: settings.Settings{ReportFields: []string{"x1", "x0"}}})
 		r.calls, r.inbox = context.Background(), make(chan func(), 1)
 		m := &message{entry: &entry{ID: "m1"}, due: time.Hour, over: true}
-		r.start(&call{host: &host{addr: s.Listener.Addr().String()}, members: []*message{m},
+		r.start(&call{host: &host{addr: s.Listener.Addr().String(), waiting: &waiting{}}, members: []*message{m},
 			sends: []choice.Send{{ID: "m1", Timeout: 20 * time.Second}}})
 		(<-r.inbox)()
 		s.Close()
@@ -291,7 +312,7 @@
 	r := caller()
 	r.began, r.inbox, r.calls = time.Now(), make(chan func(), 10), context.Background()
 	r.journal = open(t, t.TempDir(), 3e6)
-	h := &host{id: "s-1", addr: "127.0.0.1:1", dest: 7, perCall: 5}
+	h := &host{id: "s-1", addr: "127.0.0.1:1", dest: 7, perCall: 5, waiting: &waiting{}}
 	r.hosts, r.held = map[string]*host{"s-1": h}, map[string]*message{}
 	var sends []choice.Send
 	for i, size := range []int{maxBody, maxBody / 2, 10} {
--- a/internal/relay/discovery.go
+++ b/internal/relay/discovery.go
@@ -42,6 +42,26 @@
 	perCall    int
 	listed     choice.State
 	closed     atomic.Bool // drains, is gone or out by hand: nothing new may go there
+	waiting    *waiting    // of its destination; its own where routes are apart
+}
+
+// waiting is until when nothing may go to a destination, by the relay's clock. The decisions hear of a wait
+// with the end of the call that told it; calls that still wait for their connection by then look here.
+type waiting struct{ until atomic.Int64 }
+
+// heed takes in a wait that ends at a time.
+func (w *waiting) heed(until time.Duration) {
+	for {
+		old := w.until.Load()
+		if int64(until) <= old || w.until.CompareAndSwap(old, int64(until)) {
+			return
+		}
+	}
+}
+
+// left is how much of the wait there is.
+func (w *waiting) left(now time.Duration) time.Duration {
+	return max(0, time.Duration(w.until.Load())-now)
 }
 
 const (
@@ -261,7 +281,15 @@
 		n.closed.Store(h.State != choice.Ready || r.isOut(s.ID))
 		n.entry, n.listed = s, h.State
 		r.hosts[s.ID] = n
-		r.dests[s.Cell] = true
+		if r.dests[s.Cell] == nil {
+			r.dests[s.Cell] = &waiting{}
+		}
+		if n.waiting == nil {
+			n.waiting = r.dests[s.Cell]
+			if h.Kind >= 0 && set.Kinds[h.Kind].Apart {
+				n.waiting = &waiting{}
+			}
+		}
 	}
 	if l.Full { // only now: one that stays must not look closed for a moment to a call about to go
 		for id, h := range old {
--- a/internal/relay/intake.go
+++ b/internal/relay/intake.go
@@ -190,7 +190,7 @@
 		in.reply <- answer{status: http.StatusAccepted}
 	case err != nil: // the class was dropped meanwhile, or came by way of the process before this one
 		in.reply <- answer{status: http.StatusBadRequest, text: err.Error()}
-	case !r.dests[in.entry.Dest]:
+	case r.dests[in.entry.Dest] == nil:
 		r.figures.ended(in.entry.Class, failedEnd)
 		in.reply <- answer{status: http.StatusNotFound, text: "unknown destination"}
 	case r.stopped || set.MaxHeld > 0 && len(r.held) >= set.MaxHeld || r.owed >= maxOwed:
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -72,7 +72,7 @@
 	held    map[string]*message
 	past    recent
 	hosts   map[string]*host
-	dests   map[int]bool // ever listed
+	dests   map[int]*waiting // ever listed
 	events  []choice.Event
 	fresh   []*message
 	records []record
@@ -100,7 +100,7 @@
 func New(conf Config) (r *Relay, err error) {
 	set := conf.Settings
 	r = &Relay{conf: conf, zones: set.Zones, discovery: newPlatformAt(conf.Discovery), began: time.Now(),
-		held: map[string]*message{}, hosts: map[string]*host{}, dests: map[int]bool{}, inbox: make(chan func(), 1024), notices: make(chan notice, 2*maxOwed),
+		held: map[string]*message{}, hosts: map[string]*host{}, dests: map[int]*waiting{}, inbox: make(chan func(), 1024), notices: make(chan notice, 2*maxOwed),
 		quit: make(chan struct{}), wake: time.NewTimer(time.Hour)}
 	r.hostSide.Store(newTransport(&set, conf.Sockets/4))
 	r.platform = &http.Client{Transport: &http.Transport{DisableCompression: true, IdleConnTimeout: idleIn}}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -436,7 +436,7 @@
 
 // Guards against calls held back, or let through, by a whole list: it closes just the hosts it leaves out.
 func TestWholeListClosesWhatIsMissing(t *testing.T) {
-	r := &Relay{hosts: map[string]*host{}, dests: map[int]bool{}, journal: &journal{}}
+	r := &Relay{hosts: map[string]*host{}, dests: map[int]*waiting{}, journal: &journal{}}
 	r.set.Store(&standing{})
 	r.journal.byHand = map[string]record{"s-4": {Ran: true}}
 	r.listed(list{1, true, []server{at("s-1", "x:1", "taller"), at("s-2", "x:2", "taller"), at("s-3", "x:3", "taller")}})
