--- a/internal/relay/discovery_test.go
+++ b/internal/relay/discovery_test.go
@@ -163,6 +163,8 @@
 		for range 100 { // as many as are taken up; an empty clock moves for pauses alone
 			<-r.inbox
 		}
+		c.mu.Lock()
+		defer c.mu.Unlock()
 		if gone := time.Since(c.began); gone > 100*time.Millisecond || c.waited < 99 {
 			t.Errorf("100 changes took %v and %d watches, want each renewed at once", gone, c.waited)
 		}
