What operators gave back, and old outages, are forgotten after their time

Lines: byHand() dropped a time only when its endpoint was next asked for; compact() wrote all outages out.

Now both go once they no longer bind: a cold return after rules.cold, an outage after the five minutes after which a restart forgot it anyway.

--- a/choice/hand.go
+++ b/choice/hand.go
@@ -1,6 +1,9 @@
 package choice
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 // Endpoints that operators take out by hand, how they come back, and the budget of what comes back cold.
 
@@ -24,6 +27,7 @@
 		c.log("endpoint %s is out by hand", e.Host)
 	case c.out[e.Host] || e.Ago > 0:
 		delete(c.out, e.Host)
+		maps.DeleteFunc(c.cold, func(_ string, at time.Duration) bool { return c.now-at >= c.set.Rules.Cold })
 		c.cold[e.Host] = c.now - e.Ago
 		if h != nil {
 			h.fails, h.retryAt = 0, 0
--- /dev/null
+++ b/choice/soak_test.go
@@ -0,0 +1,137 @@
+package choice
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// Guards against state that outlasts what it belongs to. Many thousands of messages, of which some are out
+// when their endpoint goes, some withdrawn and some never answered in time, over hundreds of lists that
+// replace endpoints and whole destinations, with operators who take endpoints out and give them back.
+func TestStateIsBoundedByWhatIsOpenAndListed(t *testing.T) {
+	const versions, kept = 400, 12
+	s := settings()
+	s.Workers, s.MaxHeld, s.ReportLeft, s.ReportLimit = 8, 40, 0, 1
+	s.Tenants = []Tenant{{Quota: 20}, {Quota: 5}}
+	c, err := New(s, 3)
+	if err != nil {
+		t.Fatal(err)
+	}
+	chance := rand.New(rand.NewPCG(5, 5))
+	now := time.Hour
+	type out struct {
+		at time.Duration
+		Result
+	}
+	var due []out
+	tries := map[string]int{}
+	open := map[string]bool{}
+	step := func(events ...Event) {
+		now += 20 * ms
+		for i := 0; i < len(due); i++ {
+			if due[i].at <= now {
+				events = append(events, due[i].Result)
+				if due[i].Done {
+					delete(open, due[i].ID)
+				}
+				due[i] = due[len(due)-1]
+				due = due[:len(due)-1]
+				i--
+			}
+		}
+		for _, a := range c.Step(now, append(events, Woken{})) {
+			switch a := a.(type) {
+			case Send:
+				outcome := []Outcome{Served, Served, Served, Error, Refused, Reset, NoConnection, Timeout}[chance.IntN(8)]
+				r := Result{ID: a.ID, Host: a.Host, Attempt: tries[a.ID], Outcome: outcome, Took: 30 * ms,
+					Done: outcome == Served, Report: []float64{chance.Float64(), 30 * chance.Float64()}}
+				if outcome == Refused && chance.IntN(2) == 0 {
+					r.Wait = time.Duration(chance.IntN(1500)) * ms
+				}
+				if outcome == Timeout {
+					r.Took = a.Timeout
+				}
+				tries[a.ID]++
+				due = append(due, out{now + r.Took, r})
+			case Refuse:
+				delete(open, a.ID)
+			case Fail:
+				delete(open, a.ID)
+			case Cancel:
+				for i := range due {
+					if due[i].ID == a.ID {
+						due[i].at, due[i].Outcome, due[i].Done = now, Cancelled, false
+					}
+				}
+			}
+		}
+	}
+	listed := func(version int) []Host {
+		var hosts []Host
+		for i := range kept { // each version replaces one endpoint, and every few of them a whole destination
+			n := version + i
+			h := ready(fmt.Sprint("e", n), n/4, n/4%3, n%2)
+			h.Rate = 30
+			hosts = append(hosts, h)
+		}
+		return hosts
+	}
+	messages := 0
+	for v := range versions {
+		hosts := listed(v)
+		if v%10 == 0 {
+			step(Listing{Whole: true, Hosts: hosts})
+		} else {
+			gone := ready(fmt.Sprint("e", v-1), 0, 0, 0)
+			gone.State = Gone
+			step(Listing{Hosts: []Host{gone, hosts[len(hosts)-1]}})
+		}
+		if v%7 == 0 {
+			step(ByHand{Host: hosts[1].Addr, Out: true})
+			step(ByHand{Host: hosts[1].Addr})
+		}
+		for range 50 {
+			messages++
+			id := fmt.Sprint("m", messages)
+			open[id] = true
+			class := chance.IntN(len(s.Classes))
+			step(Arrival{ID: id, Class: class, Dest: hosts[chance.IntN(kept)].Dest, Key: fmt.Sprint("k", messages/3),
+				Left: time.Duration(1+chance.IntN(9)) * time.Second, Tenant: chance.IntN(3) - 1})
+			if chance.IntN(20) == 0 {
+				delete(open, id)
+				step(Withdrawn{ID: id})
+			}
+		}
+	}
+	for range 4000 { // 80 s: all is over, and no destination is cold or out any more
+		step()
+	}
+	step(Listing{Whole: true, Hosts: listed(versions)})
+	step(Listing{Whole: true, Hosts: listed(versions)})
+	if messages < 20000 || len(open) > 0 {
+		t.Fatalf("%d messages, %d of them without an end", messages, len(open))
+	}
+	sends := 0
+	for _, d := range c.order {
+		for _, u := range d.units {
+			sends += len(u.sends)
+		}
+	}
+	for what, n := range map[string]struct{ held, most int }{
+		"messages":       {len(c.msgs) + c.held + c.busy, 0},
+		"endpoints":      {len(c.hosts), kept},
+		"destinations":   {len(c.dests) + len(c.order), 2 * (kept/4 + 1)},
+		"live":           {len(c.live), 0},
+		"keys":           {len(c.lines) + len(c.resting), 0},
+		"given back":     {len(c.cold), 2},
+		"taken out":      {len(c.out), 0},
+		"remembered":     {len(c.Memory(now).Units), kept},
+		"times of sends": {sends, kept * 100},
+	} {
+		if n.held > n.most {
+			t.Errorf("%s: %d held at the end, want %d at most", what, n.held, n.most)
+		}
+	}
+}
--- a/internal/relay/journal.go
+++ b/internal/relay/journal.go
@@ -276,7 +276,12 @@
 			order = append(order, id)
 		}
 	}
-	for _, h := range j.unwell {
+	for id, h := range j.unwell {
+		if time.Since(time.UnixMilli(h.At)) > forgetUnwell { // its host may be gone from the list since
+			j.live -= slack
+			delete(j.unwell, id)
+			continue
+		}
 		buf = frame(buf, h)
 	}
 	for id, h := range j.byHand {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -362,11 +362,7 @@
 		if r.heritage != nil { // the decisions remember more
 			break
 		}
-		if time.Duration(wall-s.At)*time.Millisecond < forgetUnwell {
-			r.events = append(r.events, choice.Unwell{Host: id, Base: s.Base})
-		} else {
-			r.record(record{Op: opHealth, ID: id})
-		}
+		r.events = append(r.events, choice.Unwell{Host: id, Base: s.Base})
 	}
 	for id, h := range r.journal.byHand {
 		r.events = append(r.events, choice.ByHand{Host: id, Out: h.Ran, Ago: ms(max(1, wall-h.At))})
@@ -528,7 +524,7 @@
 			r.events = append(r.events, choice.Result{ID: s.ID, Host: s.Host, Outcome: choice.NotSent})
 			continue
 		}
-		c, size := open[s.Host], len(frameOf(m))
+		c, size := open[s.Host], frameSize(m)
 		if c == nil || len(c.members) >= h.perCall || c.size+size > maxBody { // no body may be longer
 			c = &call{host: h}
 			open[s.Host] = c
