--- a/internal/relay/calls.go
+++ b/internal/relay/calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -138,8 +139,9 @@
 	if len(c.members) == 1 {
 		c.body, c.key = c.members[0].Body, c.members[0].Key
 	} else {
+		c.body = make([]byte, 0, c.size)
 		for _, m := range c.members {
-			c.body = append(c.body, frameOf(m)...)
+			c.body = appendFrame(c.body, m)
 		}
 		// The members share one connection until the longest of their time-outs. One whose own time
 		// is up before that gets its end then; before it, a restart would be a second copy.
@@ -174,13 +176,16 @@
 	}()
 }
 
-// frameOf is a message as it stands in the body of a call with several.
-func frameOf(m *message) []byte {
-	key := m.Key
-	if key == "" {
-		key = "-"
-	}
-	return fmt.Appendf(nil, "%s %s %d\r\n%s\r\n", m.ID, key, len(m.Body), m.Body)
+// appendFrame adds a message as it stands in the body of a call with several.
+func appendFrame(body []byte, m *message) []byte {
+	return fmt.Appendf(body, "%s %s %d\r\n%s\r\n", m.ID, cmp.Or(m.Key, "-"), len(m.Body), m.Body)
+}
+
+// frameSize is how much appendFrame adds.
+func frameSize(m *message) int {
+	var digits [8]byte
+	length := len(strconv.AppendInt(digits[:0], int64(len(m.Body)), 10))
+	return len(m.ID) + len(cmp.Or(m.Key, "-")) + length + len(m.Body) + len("  \r\n\r\n")
 }
 
 // exchange makes one call and tells each member's end. The time it took is taken here, so
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -43,7 +43,7 @@
 	fail    int // so many POSTs are answered 500 first
 }
 
-func newPlatform(t *testing.T, servers ...server) *platform {
+func newPlatform(t testing.TB, servers ...server) *platform {
 	p := &platform{now: list{1, true, servers}, changed: make(chan struct{}), asked: make(chan string, 100),
 		notices: make(chan notice, 100)}
 	p.Server = httptest.NewServer(http.HandlerFunc(p.serve))
@@ -130,7 +130,7 @@
 	return s.Listener.Addr().String()
 }
 
-func testConfig(t *testing.T, p *platform) []byte {
+func testConfig(t testing.TB, p *platform) []byte {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	known, err := json.Marshal(p.now)
@@ -142,7 +142,7 @@
 		p.addr(), known, testSettings)
 }
 
-func readTestConfig(t *testing.T, data []byte, state string) (Config, error) {
+func readTestConfig(t testing.TB, data []byte, state string) (Config, error) {
 	path := filepath.Join(t.TempDir(), "config.json")
 	if err := os.WriteFile(path, data, 0o600); err != nil {
 		t.Fatal(err)
@@ -151,7 +151,7 @@
 	return ReadConfig(func(name string) string { return env[name] })
 }
 
-func startRelay(t *testing.T, p *platform, change func(*Config)) *Relay {
+func startRelay(t testing.TB, p *platform, change func(*Config)) *Relay {
 	t.Helper()
 	conf, err := readTestConfig(t, testConfig(t, p), t.TempDir())
 	if err != nil {
