choice: the first token of a metered partner is there at the start

A relay's clock begins at 0, so a unit listed then has neither a token nor time in which one grew: each relay holds its first message for up to 0.75 s, and all of them send in step.

Line: list(), which set clock and token only for units whose calls are shared.

The new test fails without it.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -140,9 +140,11 @@
 		if h.Host = n; c.set.Listed && n.State == Ready && n.Rate != h.unit.weight {
 			h.unit.weight, h.unit.listed = n.Rate, n.Rate // what answers report since is better than this
 			if h.unit.limit == 0 {
-				// Where all start near their part, a first token for all at once is a call from each.
-				if h.unit.limit = c.first(h.unit); h.unit.many && h.unit.limit < n.Rate {
-					h.unit.limitAt, h.unit.tokens = c.now, c.rand.Float64()
+				if h.unit.limit = c.first(h.unit); h.unit.limit < n.Rate {
+					h.unit.limitAt, h.unit.tokens = c.now, 1
+					if h.unit.many { // by chance, or all relays call at once, and each for little
+						h.unit.tokens = c.rand.Float64()
+					}
 				}
 			}
 		}
--- a/choice/fleet_test.go
+++ b/choice/fleet_test.go
@@ -149,6 +149,23 @@
 	}
 }
 
+// Guards against hundreds of relays that start together, hold what comes first until their pace has made up a
+// call, and then send it in step.
+func TestFirstMessageGoesAtOnce(t *testing.T) {
+	host := ready("a", 1, 0, 0)
+	host.Rate = 250
+	s := settings()
+	s.Fleet, s.ReportLeft, s.ReportLimit = 300, 0, 1
+	c, err := New(s, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.Step(0, []Event{Listing{Whole: true, Hosts: []Host{host}}})
+	if n := len(sends(c.Step(50*ms, []Event{arrival("m", 0)}))); n != 1 {
+		t.Errorf("%d sends of the first message, 50 ms after the start, want it sent", n)
+	}
+}
+
 // Guards against a clump of messages for one destination that hundreds of relays send on in the same moment:
 // each spreads what it has of it over part of an aim.
 func TestAClumpIsSpread(t *testing.T) {
