Tests of cost and hand-over give one verdict; a hand-over's last answer always closes

Seen: of 24 runs of the tests of internal/relay, six at once on eight cores, three failed at TestCostOfAMessage (12 more descriptors, 8 allowed); here, in 24 further runs, two failed at TestHandOver (the old connection does not end with the answer).

So a connection is idle before its call's end is told, and the relay opens none because of that: what grows is the number of messages out together, which is the machine's.

Hand-over: a request read before the old process heard that the next one had taken over, but answered by the next one, kept its connection. It cost a client one more message by way of two processes. Whether the connection ends is now asked as the answer goes out.

--- a/internal/relay/cost_test.go
+++ b/internal/relay/cost_test.go
@@ -385,7 +385,7 @@
 	for range 128 { // connections and buffers are there
 		c.serve()
 	}
-	fds, journal := descriptors(t), c.journalSize()
+	journal := c.journalSize()
 	var before, after runtime.MemStats
 	runtime.ReadMemStats(&before)
 	const messages = 512
@@ -400,8 +400,15 @@
 	if n := float64(c.journalSize()-journal) / messages; n > 820 {
 		t.Errorf("a message takes %.1f bytes of the journal, want 820 at most", n)
 	}
-	if n := descriptors(t) - fds; n > 8 {
-		t.Errorf("%d messages on one connection leave %d more descriptors", messages, n)
+	// Messages that are out together have a connection each, and how many are depends on the machine. One
+	// after the other they share those there are: a call's connection is idle before its end is told.
+	fds := descriptors(t)
+	for range messages {
+		c.serve()
+		c.settle()
+	}
+	if n := descriptors(t) - fds; n > 0 {
+		t.Errorf("%d messages, one after the other on one connection, leave %d more descriptors", messages, n)
 	}
 }
 
--- a/internal/relay/intake.go
+++ b/internal/relay/intake.go
@@ -69,6 +69,7 @@
 	came := r.now()
 	in, status, err := r.read(w, req, came)
 	if err != nil {
+		r.leave(w)
 		http.Error(w, err.Error(), status)
 		return
 	}
@@ -92,6 +93,7 @@
 		case <-r.quit: // the journal has it
 		}
 	}
+	r.leave(w)
 	if a.after > 0 {
 		w.Header().Set("Retry-After", strconv.FormatFloat(a.after.Seconds(), 'f', 3, 64))
 	}
@@ -103,6 +105,14 @@
 	http.Error(w, a.text, a.status)
 }
 
+// leave ends a client's connection with the answer that follows, once the next process has taken over: the
+// client's next one comes there. It is asked as the answer goes out, for a request may have been read before.
+func (r *Relay) leave(w http.ResponseWriter) {
+	if r.passedAt.Load() > 0 {
+		w.Header().Set("Connection", "close")
+	}
+}
+
 // read checks a request; its error is the client's.
 func (r *Relay) read(w http.ResponseWriter, req *http.Request, came time.Duration) (*intake, int, error) {
 	bad := func(text string) (*intake, int, error) { return nil, http.StatusBadRequest, errors.New(text) }
@@ -111,10 +121,10 @@
 	if !isName(e.ID) {
 		return bad("X-Request-Id is missing or malformed")
 	}
-	if r.passedAt.Load() > 0 { // the next process may know others
-		w.Header().Set("Connection", "close")
-	} else if _, err := admit(r.set.Load(), e, came); err != nil {
-		return bad(err.Error())
+	if r.passedAt.Load() == 0 { // the next process may know others
+		if _, err := admit(r.set.Load(), e, came); err != nil {
+			return bad(err.Error())
+		}
 	}
 	ms, err := strconv.ParseInt(req.Header.Get("X-Deadline-Ms"), 10, 64)
 	if err != nil || ms <= 0 || ms > maxLeft.Milliseconds() {
