--- /dev/null
+++ b/internal/lab/command/command.go
@@ -0,0 +1,291 @@
+// Package command is the lab's command line.
+package command
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+	"github.com/spf13/cobra"
+
+	"larchrouter/internal/lab"
+	"larchrouter/internal/lab/history"
+	"larchrouter/internal/lab/proc"
+	"larchrouter/internal/lab/rules"
+	"larchrouter/internal/lab/scenario"
+)
+
+// The exit codes.
+const (
+	held      = 0 // every expectation held
+	failed    = 1 // one did not
+	wrongFile = 2 // the file, or the command line, is wrong
+	stuck     = 3 // the lab itself could not go on, or the run shows nothing
+)
+
+// exit carries an exit code with what went wrong.
+type exit struct {
+	code int
+	err  error
+}
+
+func (e *exit) Error() string { return e.err.Error() }
+func (e *exit) Unwrap() error { return e.err }
+
+// Main runs a command line and returns its exit code.
+func Main(args []string, out, errs io.Writer) int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	root := newRoot(out)
+	root.SetArgs(args)
+	root.SetOut(out)
+	root.SetErr(errs)
+	err := root.ExecuteContext(ctx)
+	if err == nil {
+		return held
+	}
+	fmt.Fprintln(errs, "larchlab:", err)
+	if e := (*exit)(nil); errors.As(err, &e) {
+		return e.code
+	}
+	return wrongFile // cobra's own: an argument that is none
+}
+
+func newRoot(out io.Writer) *cobra.Command {
+	root := &cobra.Command{Use: "larchlab", Short: "Real relays against an emulated platform, with faults between them",
+		SilenceUsage: true, SilenceErrors: true}
+	root.AddCommand(newUp(out), newRun(out), newCheck(out))
+	return root
+}
+
+// built reads the deploy file, and builds what it starts.
+func built(ctx context.Context, noBuild bool) (lab.Options, error) {
+	var o lab.Options
+	here, err := os.Getwd()
+	if err != nil {
+		return o, err
+	}
+	root, err := lab.FindRoot(here)
+	if err != nil {
+		return o, err
+	}
+	data, err := os.ReadFile(filepath.Join(root, "deploy", "balancer.toml"))
+	if err != nil {
+		return o, err
+	}
+	d := proc.Deploy{Root: root}
+	if err := toml.Unmarshal(data, &d); err != nil {
+		return o, fmt.Errorf("deploy/balancer.toml: %w", err)
+	}
+	if d.Run == "" || d.Build == "" {
+		return o, errors.New("deploy/balancer.toml: build or run is missing")
+	}
+	if !noBuild {
+		if err := d.Built(ctx); err != nil {
+			return o, err
+		}
+	}
+	return lab.Options{Root: root, Command: d.Run}, nil
+}
+
+func newRun(out io.Writer) *cobra.Command {
+	var seed uint64
+	var jsonPath, historyPath string
+	var keep, noBuild, quiet bool
+	c := &cobra.Command{Use: "run FILE.toml", Short: "Play a scenario and judge it", Args: cobra.ExactArgs(1),
+		Long: "Play a scenario and judge it.\n\nExit code 0: every expectation held. 1: one did not. 2: the file is wrong.\n3: the lab could not go on, or the machine was too busy for the run to show anything.",
+		RunE: func(c *cobra.Command, args []string) error {
+			s, err := scenario.Read(args[0])
+			if err != nil {
+				return &exit{wrongFile, err}
+			}
+			if c.Flags().Changed("seed") {
+				s.Seed = seed
+			}
+			o, err := built(c.Context(), noBuild)
+			if err != nil {
+				return &exit{stuck, err}
+			}
+			o.Keep, o.History = keep, historyPath
+			if !quiet {
+				o.Each = func(p lab.Progress) { fmt.Fprintln(out, line(p)) }
+			}
+			r, err := lab.Run(c.Context(), s, o)
+			if err != nil {
+				return &exit{stuck, err}
+			}
+			if jsonPath != "" {
+				if err := writeJSON(jsonPath, r); err != nil {
+					return &exit{stuck, err}
+				}
+			}
+			return verdict(c.Context(), out, r)
+		}}
+	c.Flags().Uint64Var(&seed, "seed", 0, "draw with this seed, not with the file's")
+	c.Flags().StringVar(&jsonPath, "json", "", "write the result to this file")
+	c.Flags().StringVar(&historyPath, "history", "", "write the history to this file, to be checked again with larchlab check")
+	c.Flags().BoolVar(&keep, "keep", false, "keep the folder of the run, with logs and configurations")
+	c.Flags().BoolVar(&noBuild, "no-build", false, "start what is built already")
+	c.Flags().BoolVar(&quiet, "quiet", false, "no line for each second")
+	return c
+}
+
+func writeJSON(path string, v any) error {
+	data, err := json.MarshalIndent(v, "", " ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(path, append(data, '\n'), 0o644)
+}
+
+// verdict prints a result, and returns what its exit code has to tell.
+func verdict(ctx context.Context, out io.Writer, r *lab.Result) error {
+	fmt.Fprintf(out, "%s, seed %d: %s\n", r.Scenario.Name, r.Scenario.Seed, r.Report)
+	shown(out, r.Report)
+	var relays float64
+	for _, u := range r.Report.Use {
+		relays += u.CPU
+	}
+	fmt.Fprintf(out, "processor time: relays %.1f s, lab %.1f s; the lab's timers late by %.1f ms (50%%), %.1f (99%%), %.1f at most\n",
+		relays, r.LabCPU, r.Lateness.P50, r.Lateness.P99, r.Lateness.Max)
+	if r.Folder != "" {
+		fmt.Fprintln(out, "kept in", r.Folder)
+	}
+	for _, f := range r.Failures {
+		fmt.Fprintf(out, "NOT HELD  %s: %s\n", f.Expectation, f.Text)
+	}
+	switch {
+	case ctx.Err() != nil:
+		return &exit{stuck, errors.New("interrupted")}
+	case r.Void != "":
+		return &exit{stuck, errors.New("void: " + r.Void)}
+	case len(r.Failures) > 0:
+		return &exit{failed, fmt.Errorf("%d expectations did not hold", len(r.Failures))}
+	}
+	fmt.Fprintln(out, "every expectation held")
+	return nil
+}
+
+// shown prints the broken rules, and what of the rules was never tried.
+func shown(out io.Writer, r *rules.Report) {
+	for _, b := range r.Shown {
+		fmt.Fprintln(out, b)
+		for _, e := range b.Lines {
+			fmt.Fprintln(out, "    ", e)
+		}
+	}
+	var untried []string
+	for _, rule := range rules.All {
+		if r.Looked[rule] == 0 {
+			untried = append(untried, string(rule))
+		}
+	}
+	if len(untried) > 0 {
+		fmt.Fprintln(out, "rules that nothing in this run tried:", strings.Join(untried, ", "))
+	}
+}
+
+func newCheck(out io.Writer) *cobra.Command {
+	return &cobra.Command{Use: "check HISTORY", Short: "Judge a history again", Args: cobra.ExactArgs(1),
+		RunE: func(_ *cobra.Command, args []string) error {
+			f, err := os.Open(args[0])
+			if err != nil {
+				return &exit{wrongFile, err}
+			}
+			defer f.Close()
+			checker := rules.New()
+			cut, err := history.Read(f, checker.See)
+			if err != nil {
+				return &exit{wrongFile, fmt.Errorf("%s: %w", args[0], err)}
+			}
+			r := checker.Close()
+			if cut {
+				fmt.Fprintln(out, "the last line is cut off: the lab that wrote it did not end in order")
+			}
+			fmt.Fprintln(out, r)
+			shown(out, r)
+			if n := r.Total(); n > 0 {
+				return &exit{failed, fmt.Errorf("rules broken %d times", n)}
+			}
+			return nil
+		}}
+}
+
+// line is a run's progress in one line.
+func line(p lab.Progress) string {
+	up := 0
+	var open, cpu float64
+	for _, r := range p.Rows {
+		if r.State == "up" {
+			up++
+		}
+		open += r.Figures["svc.in_flight"]
+		cpu += r.Use.CPU.Seconds()
+	}
+	text := fmt.Sprintf("%5.1f s  %d of %d relays up, %d messages asked for, %d served in time, %.0f held, %d rules broken",
+		p.At.Seconds(), up, len(p.Rows), p.Asked, p.InTime, open, p.Broken)
+	if len(p.Faults) > 0 {
+		text += "  [" + strings.Join(p.Faults, "; ") + "]"
+	}
+	return text
+}
+
+// upFor bounds a run that goes on until it is interrupted.
+const upFor = 24 * time.Hour
+
+func newUp(out io.Writer) *cobra.Command {
+	s := scenario.Default()
+	s.Name = "up"
+	var rate float64
+	var noBuild bool
+	c := &cobra.Command{Use: "up", Short: "An emulated platform and relays under steady load, until interrupted", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			s.Load.Rate = rate
+			if !c.Flags().Changed("for") {
+				s.Duration = scenario.Duration(upFor)
+			}
+			if err := s.Check(); err != nil {
+				return &exit{wrongFile, err}
+			}
+			fmt.Fprintln(out, "building what deploy/balancer.toml starts ...")
+			o, err := built(c.Context(), noBuild)
+			if err != nil {
+				return &exit{stuck, err}
+			}
+			fmt.Fprintf(out, "starting %d relays; Ctrl-C ends everything\n", s.Fleet.Relays)
+			t := newTable(out)
+			o.Each = t.draw
+			r, err := lab.Run(c.Context(), s, o)
+			if err != nil {
+				return &exit{stuck, err}
+			}
+			fmt.Fprintln(out)
+			err = verdict(context.Background(), out, r)
+			return err
+		}}
+	c.Flags().IntVar(&s.Fleet.Relays, "relays", s.Fleet.Relays, "how many relays")
+	c.Flags().IntVar(&s.Fleet.Keepers, "keepers", 0, "how many keepers (not there yet: 0)")
+	c.Flags().Float64Var(&rate, "rate", s.Load.Rate, "messages a second")
+	c.Flags().Uint64Var(&s.Seed, "seed", s.Seed, "what the platform is drawn from")
+	c.Flags().Var((*durationFlag)(&s.Duration), "for", "end by itself after this time")
+	c.Flags().BoolVar(&noBuild, "no-build", false, "start what is built already")
+	return c
+}
+
+// durationFlag reads a time as a scenario does.
+type durationFlag scenario.Duration
+
+func (d *durationFlag) Set(text string) error {
+	return (*scenario.Duration)(d).UnmarshalText([]byte(text))
+}
+func (d *durationFlag) String() string { return scenario.Duration(*d).String() }
+func (d *durationFlag) Type() string   { return "duration" }
--- /dev/null
+++ b/internal/lab/faults.go
@@ -0,0 +1,286 @@
+package lab
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"larchrouter/internal/lab/history"
+	"larchrouter/internal/lab/link"
+	"larchrouter/internal/lab/scenario"
+)
+
+// describe is a fault in words.
+func describe(f scenario.Fault) string {
+	text := f.Kind + " " + f.From
+	if f.To != "" {
+		text += " to " + f.To
+		if f.Both {
+			text += " and back"
+		}
+	}
+	if f.Part != 0 {
+		text += fmt.Sprintf(" %g", f.Part)
+	}
+	if f.By != 0 {
+		text += " by " + f.By.String()
+	}
+	if f.For != 0 {
+		text += " for " + f.For.String()
+	}
+	return text
+}
+
+// fault puts a fault on, and takes it off when its time is up.
+func (w *world) fault(ctx context.Context, i int, f scenario.Fault) {
+	name := fmt.Sprintf("fault[%d]", i)
+	text := describe(f)
+	from, err := scenario.Resolve(f.From, w.scenario.Parties())
+	if err != nil {
+		w.cannot(name, err)
+		return
+	}
+	began := w.clock.Now()
+	w.mu.Lock()
+	w.on[name] = len(w.spans)
+	w.spans = append(w.spans, Span{From: float64(began) / 1e6, Text: text})
+	w.mu.Unlock()
+	begin := history.Event{Kind: history.Fault, How: "begin", Text: text}
+	if f.To != "" {
+		begin.State = history.Lossy
+	}
+	w.record(begin)
+	if f.To != "" {
+		to, err := scenario.Resolve(f.To, w.scenario.Parties())
+		if err != nil {
+			w.cannot(name, err)
+			return
+		}
+		w.onLinks(name, f, from, to, true)
+		w.rest(ctx, f.For)
+		w.onLinks(name, f, from, to, false)
+	} else if err := w.onParties(ctx, f, from); err != nil && ctx.Err() == nil {
+		w.cannot(text, err)
+	}
+	w.mu.Lock()
+	w.spans[w.on[name]].To = float64(w.clock.Now()) / 1e6
+	delete(w.on, name)
+	w.mu.Unlock()
+	w.record(history.Event{Kind: history.Fault, How: "end", Text: text})
+}
+
+func (w *world) rest(ctx context.Context, length scenario.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(time.Duration(length)):
+	}
+}
+
+// onLinks puts a fault on all links between two groups, or takes it off. A link has the way of whoever opens its
+// connections and the way back; from names the sender, whichever of the two that is.
+func (w *world) onLinks(name string, f scenario.Fault, from, to []scenario.Party, on bool) {
+	var fault *link.Faults
+	if on {
+		fault = &link.Faults{Cut: f.Kind == "cut", Refused: f.Kind == "refuse", Reset: f.Kind == "reset", ResetAt: f.Bytes, HalfOpen: f.Kind == "halfopen"}
+		switch f.Kind {
+		case "delay":
+			fault.Delay, fault.Spread = time.Duration(f.By), time.Duration(f.Spread)
+		case "slow":
+			fault.Rate = f.Rate
+		case "drop":
+			fault.Loss = f.Part
+		case "lateclose":
+			fault.LateClose = time.Duration(f.By)
+		}
+	}
+	in := func(parties []scenario.Party) func(string) bool {
+		names := map[string]bool{}
+		for _, p := range parties {
+			names[p.Name] = true
+		}
+		return func(name string) bool { return names[name] }
+	}
+	var g errgroup.Group
+	g.SetLimit(64)
+	put := func(l *link.Link, there, back bool) {
+		var ways [2]*link.Faults
+		if there {
+			ways[0] = fault
+		}
+		if back {
+			ways[1] = fault
+		}
+		g.Go(func() error { l.Put(name, ways[0], ways[1]); return nil })
+	}
+	for _, l := range w.net.Links(in(from), in(to)) {
+		put(l, true, f.Both)
+	}
+	for _, l := range w.net.Links(in(to), in(from)) {
+		put(l, f.Both, true)
+	}
+	g.Wait()
+}
+
+// onParties has something be wrong with parties themselves, for as long as the fault lasts.
+func (w *world) onParties(ctx context.Context, f scenario.Fault, parties []scenario.Party) error {
+	if parties[0].Name == "discovery" {
+		if f.Kind == "outage" {
+			w.discovery.Down(true)
+			defer w.discovery.Down(false)
+		} else {
+			w.discovery.Late(time.Duration(f.By))
+			defer w.discovery.Late(0)
+		}
+		w.rest(ctx, f.For)
+		return nil
+	}
+	var g errgroup.Group
+	for _, r := range w.relays {
+		if !named(parties, r.name) {
+			continue
+		}
+		g.Go(func() error {
+			switch f.Kind {
+			case "pause":
+				return r.pause(ctx, time.Duration(f.For))
+			case "kill":
+				return r.kill(ctx, time.Duration(f.For))
+			case "term":
+				return r.term(ctx, time.Duration(f.For))
+			case "upgrade":
+				return r.upgrade(ctx)
+			}
+			return nil
+		})
+	}
+	if err := g.Wait(); err != nil {
+		return err
+	}
+	dests := map[int]bool{}
+	for _, p := range parties {
+		if len(p.Name) > 9 && p.Name[:9] == "endpoint/" {
+			dests[p.Dest] = true
+		}
+	}
+	if len(dests) == 0 {
+		return nil
+	}
+	switch f.Kind {
+	case "outage":
+		for d := range dests {
+			w.partners.Out(d, true)
+			defer w.partners.Out(d, false)
+		}
+	case "shut":
+		for d := range dests {
+			w.partners.Shut(d, time.Duration(f.For))
+		}
+	case "limit":
+		for d := range dests {
+			was := w.partners.Limit(d, f.Part)
+			defer w.partners.Limit(d, 1/f.Part)
+			w.record(history.Event{Kind: history.Step, Dest: d, Text: fmt.Sprintf("limit of destination %d from %.1f to %.1f", d, was, was*f.Part)})
+		}
+	case "errors", "slow":
+		for _, p := range parties {
+			fails, slow := f.Part, 1.0
+			if f.Kind == "slow" {
+				fails, slow = 0, f.Part
+			}
+			w.partners.Trouble(p.Name, fails, slow)
+			defer w.partners.Trouble(p.Name, 0, 1)
+		}
+	}
+	w.rest(ctx, f.For)
+	return nil
+}
+
+func named(parties []scenario.Party, name string) bool {
+	for _, p := range parties {
+		if p.Name == name {
+			return true
+		}
+	}
+	return false
+}
+
+// step does what an operator does.
+func (w *world) step(ctx context.Context, st scenario.Step) {
+	to := st.To
+	if to == "" {
+		to = "relays"
+	}
+	w.record(history.Event{Kind: history.Step, Text: st.Do + " " + to})
+	parties, err := scenario.Resolve(to, w.scenario.Parties())
+	if err != nil {
+		w.cannot(st.Do, err)
+		return
+	}
+	var g errgroup.Group
+	g.SetLimit(32)
+	switch st.Do {
+	case "settings":
+		for _, r := range w.relays {
+			if named(parties, r.name) {
+				g.Go(func() error { return r.retune(func(s map[string]any) { apply(s, st) }, st.Break) })
+			}
+		}
+		if limit, ok := st.Number("destination-limit"); ok {
+			w.weigh(w.scenario.Parties(), limit)
+		}
+	case "list":
+		limit, _ := st.Number("limit")
+		w.weigh(parties, limit)
+	case "drain":
+		for _, p := range parties {
+			w.discovery.Set(p.Name, "leaving", func() {
+				time.AfterFunc(drainFor, func() {
+					w.partners.Drained(p.Name)
+					w.discovery.Set(p.Name, "left", nil)
+				})
+			})
+		}
+	case "ban", "unban":
+		for _, r := range w.relays {
+			for _, p := range parties {
+				g.Go(func() error { return r.byHand(ctx, p.Name, st.Do == "ban") })
+			}
+		}
+	}
+	if err := g.Wait(); err != nil && ctx.Err() == nil {
+		w.cannot(st.Do, err)
+	}
+}
+
+// drainFor is how long an endpoint goes on with what it has after the list has said that it leaves.
+const drainFor = 3 * time.Second
+
+// weigh lists another rate for endpoints.
+func (w *world) weigh(parties []scenario.Party, limit float64) {
+	for _, p := range parties {
+		if len(p.Name) > 9 && p.Name[:9] == "endpoint/" {
+			w.discovery.Weigh(p.Name, limit)
+		}
+	}
+}
+
+// apply changes a relay's settings as a step says.
+func apply(settings map[string]any, st scenario.Step) {
+	bounds, family := settings["bounds"].(map[string]any), settings["family-info"].(map[string]any)
+	for key := range st.Set {
+		v, _ := st.Number(key)
+		switch key {
+		case "max-attempts", "most-held":
+			bounds[key] = int(math.Round(v))
+		case "workers":
+			family[key] = int(math.Round(v))
+		case "aim", "give-up":
+			for _, c := range settings["classes"].([]any) {
+				c.(map[string]any)[key] = v
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/history/history.go
@@ -0,0 +1,258 @@
+// Package history is the record of what every party of a run saw: one sequence of events on one clock, kept
+// as a file of JSON lines that can be checked again later.
+package history
+
+import (
+	"bufio"
+	"container/heap"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"time"
+)
+
+// Clock is the one clock of a run: monotonic microseconds since it began. Parties that the lab emulates stamp
+// what they see by it; no process under test is asked for the time.
+type Clock struct{ began time.Time }
+
+// NewClock starts a clock at 0.
+func NewClock() *Clock { return &Clock{time.Now()} }
+
+// Now is the time in microseconds.
+func (c *Clock) Now() int64 { return time.Since(c.began).Microseconds() }
+
+// At is the time of an instant in microseconds.
+func (c *Clock) At(t time.Time) int64 { return t.Sub(c.began).Microseconds() }
+
+// Time is the instant of a stamp.
+func (c *Clock) Time(us int64) time.Time { return c.began.Add(time.Duration(us) * time.Microsecond) }
+
+// Kind says what an event tells.
+type Kind string
+
+// The kinds. Relay is the relay that an event concerns, by name, wherever there is one. "Front" is the lab's
+// end of a connection to a process under test: what it reads there the process has written, what it has
+// written there the process can read.
+const (
+	Run     Kind = "run"     // the first event: Terms, Text is the scenario's name
+	Hand    Kind = "hand"    // a client's request is on its way: ID, First, Class, Tenant, Dest, Key, Left, Sum
+	Heard   Kind = "heard"   // its answer came: ID, Status, Wait
+	Left    Kind = "left"    // the client stopped waiting, or its connection ended: ID, How
+	Call    Kind = "call"    // a call is whole at an endpoint: Call, IDs, Endpoint, Dest, Begun and Whole (front)
+	Bad     Kind = "bad"     // an endpoint was sent what no relay may send: Endpoint, Text
+	Ran     Kind = "ran"     // a call took effect: Call
+	Answer  Kind = "answer"  // a call's answer is written at the front: Call, Status, Wait, Ends
+	Gone    Kind = "gone"    // the relay gave a call's connection up, at the front: Call
+	Change  Kind = "change"  // discovery's list changed: Version, Endpoint, State
+	Asked   Kind = "asked"   // a relay asked discovery: Version (0 for the whole list), Left
+	Told    Kind = "told"    // discovery's answer is written at the front: Version
+	Untold  Kind = "untold"  // discovery's call failed
+	Notice  Kind = "notice"  // a notice came: ID, How, Wait
+	Proc    Kind = "proc"    // a process: Proc, How is start, ready, term, kill, stop, cont, exit or crash; Text
+	Fault   Kind = "fault"   // How is begin or end, Text names it; State is Lossy for one of links
+	Step    Kind = "step"    // Text names it
+	ByHand  Kind = "byhand"  // an operator's call was answered: Endpoint, How is disable or enable, Status
+	Metrics Kind = "metrics" // a relay's figures: Proc, Figures; Whole is when the call went out
+	Sample  Kind = "sample"  // what a process uses: Proc, Figures
+	Down    Kind = "down"    // an outage of a destination begins: Dest, How
+	Up      Kind = "up"      // and ends: Dest; it is cold from now on where Figures has "cold" seconds
+	Fell    Kind = "fell"    // a cold destination was pushed over: Dest, Figures is the load by relay in that span
+	End     Kind = "end"     // the last event: Text says how the run ended
+)
+
+// Lossy is the State of a fault under which a process may write what nobody gets to see.
+const Lossy = "lossy"
+
+// Event is one event. T and all stamps are microseconds on the run's clock; Wait and Left are milliseconds.
+type Event struct {
+	T        int64              `json:"t"`
+	Kind     Kind               `json:"e"`
+	Relay    string             `json:"relay,omitempty"`
+	Proc     string             `json:"proc,omitempty"`
+	PID      int                `json:"pid,omitempty"`
+	ID       string             `json:"id,omitempty"`
+	First    string             `json:"first,omitempty"` // the id under which the message was first handed in
+	Class    string             `json:"class,omitempty"`
+	Tenant   string             `json:"tenant,omitempty"`
+	Key      string             `json:"key,omitempty"`
+	Sum      string             `json:"sum,omitempty"` // of the body
+	Dest     int                `json:"dest,omitempty"`
+	Left     int64              `json:"left,omitempty"`
+	Call     int64              `json:"call,omitempty"`
+	IDs      []string           `json:"ids,omitempty"`
+	Sums     []string           `json:"sums,omitempty"`
+	Ends     []string           `json:"ends,omitempty"`
+	Endpoint string             `json:"endpoint,omitempty"`
+	Begun    int64              `json:"begun,omitempty"`
+	Whole    int64              `json:"whole,omitempty"`
+	Status   int                `json:"status,omitempty"`
+	Wait     int64              `json:"wait,omitempty"`
+	Version  int64              `json:"version,omitempty"`
+	State    string             `json:"state,omitempty"`
+	How      string             `json:"how,omitempty"`
+	Text     string             `json:"text,omitempty"`
+	Figures  map[string]float64 `json:"figures,omitempty"`
+	Terms    *Terms             `json:"terms,omitempty"`
+}
+
+func (e Event) String() string {
+	b, err := json.Marshal(e)
+	if err != nil {
+		return err.Error()
+	}
+	return string(b)
+}
+
+// Class is what the rules need to know of a class of message.
+type Class struct {
+	Name      string        `json:"name"`
+	Effect    string        `json:"effect"` // idempotent, deduplicated or at_most_once, as in the settings
+	SameZone  bool          `json:"same_zone,omitempty"`
+	Window    time.Duration `json:"window"`
+	Aim       time.Duration `json:"aim"`
+	Deadline  time.Duration `json:"deadline"`
+	Worth     float64       `json:"worth"`
+	LateShare float64       `json:"late_share"`
+}
+
+// Terms are the figures by which a history is judged. They stand in its first event, so that a history can be
+// checked without the scenario that made it.
+type Terms struct {
+	Seed        uint64            `json:"seed"`
+	Classes     []Class           `json:"classes"`
+	MaxAttempts int               `json:"max_attempts"`
+	DrainGrace  time.Duration     `json:"drain_grace"`
+	AskWithin   time.Duration     `json:"ask_within"`
+	Endpoints   map[string]int    `json:"endpoints"` // the destination of each at the start
+	Zones       map[string]string `json:"zones"`     // of each endpoint
+	Dests       int               `json:"dests"`
+	Limits      map[string]Limits `json:"limits"` // by process
+}
+
+// Limits are a process's.
+type Limits struct {
+	MemoryMB float64 `json:"memory_mb"`
+	Sockets  float64 `json:"sockets"`
+	DiskMB   float64 `json:"disk_mb"`
+}
+
+// settle is how far events may come out of order. Parties stamp first and record then; what lies between is
+// the scheduler's.
+const settle = int64(2 * time.Second / time.Microsecond)
+
+// Recorder takes events from all parties, puts them in order of their stamps and passes them on to a file and
+// to whoever else reads. It holds as many as come within two seconds.
+type Recorder struct {
+	in     chan Event
+	done   chan error
+	sinks  []func(Event)
+	out    *bufio.Writer
+	closer io.Closer
+}
+
+// NewRecorder records to w, which may be nil, and has each sink see each event, in order.
+func NewRecorder(w io.WriteCloser, sinks ...func(Event)) *Recorder {
+	r := &Recorder{in: make(chan Event, 4096), done: make(chan error, 1), sinks: sinks}
+	if w != nil {
+		r.out, r.closer = bufio.NewWriterSize(w, 1<<18), w
+	}
+	go r.run()
+	return r
+}
+
+// Add records an event. It waits while the recorder is behind.
+func (r *Recorder) Add(e Event) { r.in <- e }
+
+// Close records what is there, after which no event may be added.
+func (r *Recorder) Close() error {
+	close(r.in)
+	return <-r.done
+}
+
+func (r *Recorder) run() {
+	var late order
+	var n uint64
+	var newest int64
+	var failed error
+	var enc *json.Encoder
+	if r.out != nil {
+		enc = json.NewEncoder(r.out)
+	}
+	pass := func(e Event) {
+		if enc != nil && failed == nil {
+			failed = enc.Encode(e)
+		}
+		for _, sink := range r.sinks {
+			sink(e)
+		}
+	}
+	for e := range r.in {
+		newest = max(newest, e.T)
+		n++
+		heap.Push(&late, numbered{e, n})
+		for len(late) > 0 && late[0].T <= newest-settle {
+			pass(heap.Pop(&late).(numbered).Event)
+		}
+	}
+	for len(late) > 0 {
+		pass(heap.Pop(&late).(numbered).Event)
+	}
+	if r.out != nil {
+		failed = errors.Join(failed, r.out.Flush(), r.closer.Close())
+	}
+	r.done <- failed
+}
+
+// order is a heap by time, and by arrival where times are equal.
+type order []numbered
+
+type numbered struct {
+	Event
+	n uint64
+}
+
+func (o order) Len() int { return len(o) }
+func (o order) Less(i, j int) bool {
+	return o[i].T < o[j].T || o[i].T == o[j].T && o[i].n < o[j].n
+}
+func (o order) Swap(i, j int) { o[i], o[j] = o[j], o[i] }
+func (o *order) Push(x any)   { *o = append(*o, x.(numbered)) }
+func (o *order) Pop() any {
+	last := (*o)[len(*o)-1]
+	*o = (*o)[:len(*o)-1]
+	return last
+}
+
+// Read passes the events of a file on, in order. A line that is no event ends it with an error that names it;
+// a last line that was cut off, as the lab's death leaves it, is passed over and told.
+func Read(r io.Reader, each func(Event)) (cut bool, err error) {
+	in := bufio.NewReaderSize(r, 1<<18)
+	for n := 1; ; n++ {
+		line, err := in.ReadBytes('\n')
+		if err == io.EOF {
+			return len(line) > 0, nil
+		}
+		if err != nil {
+			return false, err
+		}
+		var e Event
+		if err := json.Unmarshal(line, &e); err != nil {
+			return false, fmt.Errorf("line %d: %w", n, err)
+		}
+		if n == 1 && (e.Kind != Run || e.Terms == nil) {
+			return false, errors.New("line 1: a history begins with the terms of its run")
+		}
+		each(e)
+	}
+}
+
+// WorthAfter is what a message is worth that was delivered so long after it was handed in: all of it within its
+// aim, then half as much with each further aim, and its late share at least.
+func (c *Class) WorthAfter(took time.Duration) float64 {
+	if took <= c.Aim {
+		return c.Worth
+	}
+	return c.Worth * max(c.LateShare, math.Pow(0.5, float64(took-c.Aim)/float64(c.Aim)))
+}
--- /dev/null
+++ b/internal/lab/lab.go
@@ -0,0 +1,391 @@
+// Package lab plays a scenario: it emulates the platform, starts real relays as processes, loads them, puts
+// faults on links and processes, and judges by one history of what every party saw.
+package lab
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"larchrouter/internal/lab/history"
+	"larchrouter/internal/lab/link"
+	"larchrouter/internal/lab/platform"
+	"larchrouter/internal/lab/proc"
+	"larchrouter/internal/lab/rules"
+	"larchrouter/internal/lab/scenario"
+)
+
+// Options are what a run needs beside its scenario.
+type Options struct {
+	Root    string   // where the command is started
+	Command string   // that starts one relay, as the deploy file has it
+	Env     []string // further variables for it
+	Folder  string   // where the run's folder is made; empty for the system's
+	Keep    bool     // the run's folder, with logs and configurations
+	History string   // file for the history; empty for none
+	Drawn   io.Writer
+	Each    func(Progress) // told every second; nil for nobody
+}
+
+// Row is what is known of a relay at a time.
+type Row struct {
+	Name, State string
+	Use         proc.Use
+	Figures     map[string]float64
+}
+
+// Progress is how a run stands.
+type Progress struct {
+	At     time.Duration
+	Of     time.Duration
+	Rows   []Row
+	Faults []string // that are on
+	Asked  int
+	InTime int
+	Broken int
+}
+
+// Failure is an expectation that did not hold.
+type Failure struct {
+	Expectation string `json:"expectation"`
+	Text        string `json:"text"`
+}
+
+// Result is a run's.
+type Result struct {
+	Scenario *scenario.Scenario `json:"scenario"`
+	Draw     *platform.Draw     `json:"draw"`
+	Report   *rules.Report      `json:"report"`
+	Failures []Failure          `json:"failures,omitempty"`
+	Void     string             `json:"void,omitempty"` // why the run shows nothing; empty if it does
+	Faults   []Span             `json:"faults"`
+	Lateness Lateness           `json:"lateness_ms"`
+	LabCPU   float64            `json:"lab_cpu_s"`
+	Folder   string             `json:"folder,omitempty"`
+	Trouble  []string           `json:"trouble,omitempty"` // what the lab could not do
+}
+
+// Lateness is by how much the lab's own timers came late, in milliseconds: the error of its stamps.
+type Lateness struct{ P50, P99, Max float64 }
+
+// Span is when a fault was on, in seconds.
+type Span struct {
+	From, To float64
+	Text     string
+}
+
+// tooLate is the lateness of the lab's timers, 99 of 100, above which a run shows nothing of the relays: the
+// machine is too busy for what is asked of it.
+const tooLate = 50 * time.Millisecond
+
+// world is a run.
+type world struct {
+	scenario  *scenario.Scenario
+	options   Options
+	draw      *platform.Draw
+	dir       string
+	clock     *history.Clock
+	recorder  *history.Recorder
+	net       *link.Net
+	partners  *platform.Partners
+	discovery *platform.Discovery
+	front     *platform.Front
+	clients   *platform.Clients
+	relays    []*relay
+
+	mu      sync.Mutex
+	checker *rules.Checker
+	spans   []Span
+	on      map[string]int // faults, by their place in spans
+	trouble []string
+	rand    *rand.Rand
+	closed  bool
+}
+
+// record adds an event, which is stamped now.
+func (w *world) record(e history.Event) {
+	e.T = w.clock.Now()
+	w.add(e)
+}
+
+// add adds an event that has its stamp. Parties may still be at work as the run ends.
+func (w *world) add(e history.Event) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.closed {
+		w.recorder.Add(e)
+	}
+}
+
+// noticed draws how long the front takes to notice a dead relay.
+func (w *world) noticed() time.Duration {
+	return time.Duration(w.draw.Notice * float64(time.Second))
+}
+
+// Run plays a scenario. An error is the lab's own: what the relays do wrong is in the result.
+func Run(ctx context.Context, s *scenario.Scenario, o Options) (result *Result, err error) {
+	if err := s.Check(); err != nil {
+		return nil, err
+	}
+	raiseLimits()
+	w := &world{scenario: s, options: o, draw: platform.NewDraw(s), clock: history.NewClock(), front: platform.NewFront(),
+		checker: rules.New(), on: map[string]int{}, rand: rand.New(rand.NewPCG(s.Seed, 0x4d))}
+	if w.dir, err = proc.Folder(orTemp(o.Folder)); err != nil {
+		return nil, err
+	}
+	if !o.Keep {
+		defer os.RemoveAll(w.dir)
+	}
+	var out io.WriteCloser
+	if o.History != "" {
+		if out, err = os.Create(o.History); err != nil {
+			return nil, err
+		}
+	}
+	var checks sync.Mutex
+	w.recorder = history.NewRecorder(out, func(e history.Event) {
+		checks.Lock()
+		defer checks.Unlock()
+		w.checker.See(e)
+	})
+	w.add(history.Event{Kind: history.Run, Text: s.Name, Terms: w.draw.Terms(s)})
+	w.net = link.NewNet(w.clock)
+	env := platform.Env{Clock: w.clock, Record: w.add, Net: w.net, Scenario: s, Draw: w.draw}
+	w.partners = platform.NewPartners(env)
+	w.discovery = platform.NewDiscovery(env, w.partners)
+	w.clients = platform.NewClients(env, w.front)
+	w.discovery.Noticed = w.clients.Noticed
+
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	late := watchLateness(ctx)
+	defer func() {
+		for _, r := range w.relays {
+			go r.end()
+		}
+		for _, r := range w.relays {
+			r.end()
+		}
+		w.clients.Close()
+		w.net.Close()
+		w.record(history.Event{Kind: history.End})
+		w.mu.Lock()
+		w.closed = true
+		w.mu.Unlock()
+		if cerr := w.recorder.Close(); cerr != nil && err == nil {
+			err = fmt.Errorf("history: %w", cerr)
+		}
+		if err == nil {
+			result = w.result(late())
+		}
+	}()
+	if err := w.start(ctx); err != nil {
+		return nil, err
+	}
+	w.play(ctx, &checks)
+	return nil, nil
+}
+
+func orTemp(dir string) string {
+	if dir == "" {
+		return os.TempDir()
+	}
+	return dir
+}
+
+// raiseLimits lets the lab hold a socket for each pair of parties.
+func raiseLimits() {
+	var l syscall.Rlimit
+	if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &l) == nil {
+		l.Cur = l.Max
+		syscall.Setrlimit(syscall.RLIMIT_NOFILE, &l)
+	}
+}
+
+// start starts all relays, several at once.
+func (w *world) start(ctx context.Context) error {
+	for i := range w.scenario.Fleet.Relays {
+		r, err := newRelay(w, i)
+		if err != nil {
+			return err
+		}
+		w.relays = append(w.relays, r)
+		w.front.Add(r.name, r.listen)
+		for c := range w.scenario.Load.Clients {
+			w.net.Link(fmt.Sprintf("client/%d", c), r.name)
+		}
+	}
+	var g errgroup.Group
+	g.SetLimit(16)
+	for _, r := range w.relays {
+		g.Go(func() error {
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			return r.begin(ctx, false)
+		})
+	}
+	return g.Wait()
+}
+
+// play has load, faults and steps come when they are due, and waits until what was taken on has its end.
+func (w *world) play(ctx context.Context, checks *sync.Mutex) {
+	began := time.Now()
+	var parts sync.WaitGroup
+	go1 := func(f func()) {
+		parts.Add(1)
+		go func() { defer parts.Done(); f() }()
+	}
+	after := func(at scenario.Duration, f func()) {
+		go1(func() {
+			select {
+			case <-ctx.Done():
+			case <-time.After(time.Until(began.Add(time.Duration(at)))):
+				f()
+			}
+		})
+	}
+	for i, f := range w.scenario.Faults {
+		after(f.At, func() { w.fault(ctx, i, f) })
+	}
+	for _, st := range w.scenario.Steps {
+		after(st.At, func() { w.step(ctx, st) })
+	}
+	loaded, unload := context.WithTimeout(ctx, time.Duration(w.scenario.Duration))
+	defer unload()
+	go1(func() { w.clients.Play(loaded) })
+	go w.watch(ctx, began, checks)
+	parts.Wait()
+	most := time.Duration(w.scenario.Load.Deadline) + 8*time.Second
+	ended := w.clock.Now()
+	for end := time.Now().Add(most); time.Now().Before(end) && ctx.Err() == nil; time.Sleep(100 * time.Millisecond) {
+		checks.Lock()
+		done := w.checker.Owing() == 0 && w.checker.Now().Microseconds() > ended
+		checks.Unlock()
+		if done {
+			return
+		}
+	}
+}
+
+// watch looks at all relays every second.
+func (w *world) watch(ctx context.Context, began time.Time, checks *sync.Mutex) {
+	for tick := time.NewTicker(time.Second); ; {
+		select {
+		case <-ctx.Done():
+			tick.Stop()
+			return
+		case <-tick.C:
+		}
+		rows := make([]Row, len(w.relays))
+		var g errgroup.Group
+		g.SetLimit(16)
+		for i, r := range w.relays {
+			g.Go(func() error { rows[i] = r.look(ctx); return nil })
+		}
+		g.Wait()
+		if w.options.Each == nil {
+			continue
+		}
+		p := Progress{At: time.Since(began), Of: time.Duration(w.scenario.Duration), Rows: rows}
+		checks.Lock()
+		p.Asked, p.InTime, p.Broken = w.checker.Standing()
+		checks.Unlock()
+		w.mu.Lock()
+		for _, i := range w.on {
+			p.Faults = append(p.Faults, w.spans[i].Text)
+		}
+		w.mu.Unlock()
+		slices.Sort(p.Faults)
+		w.options.Each(p)
+	}
+}
+
+// cannot notes what the lab could not do.
+func (w *world) cannot(what string, err error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.trouble = append(w.trouble, fmt.Sprintf("%.3f s: %s: %v", float64(w.clock.Now())/1e6, what, err))
+}
+
+// result judges the run.
+func (w *world) result(late Lateness) *Result {
+	r := &Result{Scenario: w.scenario, Draw: w.draw, Report: w.checker.Close(), Faults: w.spans, Lateness: late, Trouble: w.trouble}
+	if w.options.Keep {
+		r.Folder = w.dir
+	}
+	var use syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &use) == nil {
+		r.LabCPU = float64(use.Utime.Nano()+use.Stime.Nano()) / 1e9
+	}
+	if late.P99 > float64(tooLate.Milliseconds()) {
+		r.Void = fmt.Sprintf("the machine is too busy for this load: one in a hundred of the lab's own timers came %.0f ms late or more, of %d at most", late.P99, tooLate.Milliseconds())
+	}
+	for _, rule := range rules.All {
+		if n := r.Report.Broken[rule]; n > 0 {
+			r.Failures = append(r.Failures, Failure{"rule " + string(rule), fmt.Sprintf("broken %d times", n)})
+		}
+	}
+	if want := w.scenario.Expect.Served; want != nil && r.Report.Served < *want {
+		r.Failures = append(r.Failures, Failure{"served", fmt.Sprintf("%.3f of the worth asked for, at least %.3f expected", r.Report.Served, *want)})
+	}
+	if n := len(w.trouble); n > 0 {
+		r.Failures = append(r.Failures, Failure{"the scenario was carried out", strings.Join(w.trouble, "; ")})
+	}
+	return r
+}
+
+// watchLateness measures how late the lab's own timers come, until it is asked.
+func watchLateness(ctx context.Context) func() Lateness {
+	const every = 5 * time.Millisecond
+	var mu sync.Mutex
+	var counts [2001]int // by tenths of a millisecond, the last for all above
+	n, most := 0, time.Duration(0)
+	go func() {
+		for ctx.Err() == nil {
+			begin := time.Now()
+			time.Sleep(every)
+			late := time.Since(begin) - every
+			mu.Lock()
+			n++
+			most = max(most, late)
+			counts[min(len(counts)-1, max(0, int(late/(100*time.Microsecond))))]++
+			mu.Unlock()
+		}
+	}()
+	return func() Lateness {
+		mu.Lock()
+		defer mu.Unlock()
+		at := func(q float64) float64 {
+			for i, sum := 0, 0; i < len(counts); i++ {
+				if sum += counts[i]; float64(sum) >= q*float64(n) {
+					return float64(i) / 10
+				}
+			}
+			return 0
+		}
+		return Lateness{at(0.5), at(0.99), float64(most.Microseconds()) / 1000}
+	}
+}
+
+// FindRoot finds the folder with the deploy file, from a folder upwards.
+func FindRoot(from string) (string, error) {
+	for dir := from; ; dir = filepath.Dir(dir) {
+		if _, err := os.Stat(filepath.Join(dir, "deploy", "balancer.toml")); err == nil {
+			return dir, nil
+		}
+		if dir == filepath.Dir(dir) {
+			return "", errors.New("no deploy/balancer.toml here or above: start the lab within the repository")
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/platform/clients.go
@@ -0,0 +1,418 @@
+package platform
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/base64"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"larchrouter/internal/lab/history"
+	"larchrouter/internal/lab/link"
+)
+
+// Front knows which relays clients may be dealt to.
+type Front struct {
+	mu     sync.Mutex
+	addrs  map[string]string
+	order  []string
+	usable map[string]bool
+	turn   int
+}
+
+// NewFront deals connections out to relays in turn.
+func NewFront() *Front { return &Front{addrs: map[string]string{}, usable: map[string]bool{}} }
+
+// Add names a relay and its address.
+func (f *Front) Add(relay, addr string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.addrs[relay] == "" {
+		f.order = append(f.order, relay)
+	}
+	f.addrs[relay] = addr
+}
+
+// Use says whether a relay gets clients.
+func (f *Front) Use(relay string, use bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.usable[relay] = use
+}
+
+// next is the relay whose turn it is.
+func (f *Front) next() (relay, addr string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for range f.order {
+		f.turn++
+		if r := f.order[f.turn%len(f.order)]; f.usable[r] {
+			return r, f.addrs[r]
+		}
+	}
+	return "", ""
+}
+
+// Clients are the mills' programs.
+type Clients struct {
+	Env
+	Front *Front
+
+	mu   sync.Mutex
+	idle map[string][]*clientConn // by client and relay
+	open map[string]*message      // taken on, by id
+	wait sync.WaitGroup
+	n    atomic.Int64
+	stop atomic.Bool
+}
+
+// message is one that a client wants delivered, under whatever ids.
+type message struct {
+	first, key string
+	class      history.Class
+	tenant     string
+	dest       int
+	body       []byte
+	begun      time.Time
+	client     int
+	again      int // times that it was handed in after a refusal
+	early      bool
+}
+
+type clientConn struct {
+	*link.Conn
+	in   *bufio.Reader
+	used bool
+}
+
+// The times of a client.
+const (
+	patience  = 400 * time.Millisecond
+	idleMost  = 4
+	handsMost = 4 // ids for one message, whatever becomes of them
+)
+
+// NewClients returns clients that hand nothing in yet.
+func NewClients(env Env, front *Front) *Clients {
+	return &Clients{Env: env, Front: front, idle: map[string][]*clientConn{}, open: map[string]*message{}}
+}
+
+// Play hands messages in until the context ends, at the scenario's rate. It returns once all have their answer.
+func (c *Clients) Play(ctx context.Context) {
+	s, r := c.Scenario, rand.New(rand.NewPCG(c.Scenario.Seed, 0x2b))
+	early := rand.New(rand.NewPCG(c.Scenario.Seed, 0x3c))
+	next := time.Now()
+	burstFrom, burstTo := next, next
+	for i := 0; ctx.Err() == nil && s.Load.Rate > 0; i++ {
+		rate := s.Load.Rate
+		if s.Load.Burst > 1 {
+			if next.After(burstTo) { // a burst of a few seconds, a third of the time
+				burstFrom = next.Add(time.Duration(between(r, 3, 8) * float64(time.Second)))
+				burstTo = burstFrom.Add(time.Duration(between(r, 2, 4) * float64(time.Second)))
+			}
+			if next.After(burstFrom) {
+				rate *= s.Load.Burst
+			}
+		}
+		next = next.Add(time.Duration(r.ExpFloat64() / rate * float64(time.Second)))
+		if wait := time.Until(next); wait > 0 {
+			select {
+			case <-ctx.Done():
+			case <-time.After(wait):
+			}
+		}
+		if ctx.Err() != nil {
+			break
+		}
+		m := c.draw(r)
+		m.early = early.Float64() < s.Load.Early
+		c.wait.Add(1)
+		go func() {
+			defer c.wait.Done()
+			c.hand(m, "")
+		}()
+	}
+	c.stop.Store(true)
+	c.wait.Wait()
+}
+
+// draw makes a message.
+func (c *Clients) draw(r *rand.Rand) *message {
+	pick := func(n int, share func(int) float64) int {
+		v := r.Float64()
+		for i := range n {
+			if v -= share(i); v < 0 {
+				return i
+			}
+		}
+		return n - 1
+	}
+	d := c.Draw
+	m := &message{class: d.Classes[r.IntN(len(d.Classes))], begun: time.Now(), client: r.IntN(c.Scenario.Load.Clients),
+		tenant: d.Tenants[pick(len(d.Tenants), func(i int) float64 { return d.Tenants[i].Share })].Name,
+		dest:   pick(len(d.Dests), func(i int) float64 { return d.Dests[i].Share }),
+		key:    fmt.Sprintf("k%016x%016x", r.Uint64(), r.Uint64())}
+	raw := make([]byte, 40+r.IntN(300))
+	for i := range raw {
+		raw[i] = byte(r.Uint32())
+	}
+	m.body = []byte(base64.StdEncoding.EncodeToString(raw))
+	return m
+}
+
+// hand has a message taken on, or gives it up.
+func (c *Clients) hand(m *message, mark string) {
+	for hands := 0; hands < handsMost; hands++ {
+		left := m.class.Deadline - time.Since(m.begun)
+		if left <= 0 {
+			return
+		}
+		relay, addr := c.Front.next()
+		if relay == "" { // none is up
+			time.Sleep(50 * time.Millisecond)
+			hands--
+			continue
+		}
+		id := fmt.Sprintf("m%09x%08x", c.n.Add(1), uint32(c.Scenario.Seed))
+		if m.first == "" {
+			m.first = id
+		}
+		c.mu.Lock()
+		c.open[id] = m
+		c.mu.Unlock()
+		time.AfterFunc(left+10*time.Second, func() {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			delete(c.open, id)
+		})
+		c.Record(history.Event{T: c.Clock.Now(), Kind: history.Hand, Relay: relay, ID: id, First: m.first, Class: m.class.Name, Tenant: m.tenant,
+			Dest: m.dest, Key: m.key, Left: left.Milliseconds(), Sum: Sum(append([]byte(m.key+"\n"), m.body...))})
+		status, after, how := c.try(m, id, relay, addr, mark, left)
+		switch {
+		case status == 0:
+			c.Record(history.Event{T: c.Clock.Now(), Kind: history.Left, Relay: relay, ID: id, How: how})
+			c.mu.Lock()
+			delete(c.open, id)
+			c.mu.Unlock()
+			if how == "early" {
+				return
+			}
+			mark = "again"
+		case status == 200 || status == 202:
+			return
+		case status == 429 || status == 503:
+			if !c.comeAgain(m, after) {
+				return
+			}
+			mark = ""
+		default:
+			return
+		}
+	}
+}
+
+// comeAgain waits as a client does that was refused, and tells whether it hands the message in again.
+func (c *Clients) comeAgain(m *message, after time.Duration) bool {
+	if m.again >= c.Draw.Retries {
+		return false
+	}
+	m.again++
+	wait := time.Duration(c.Draw.Backoff * float64(time.Second))
+	if after > 0 && float64(m.client%100)/100 < c.Draw.Honour {
+		wait = min(after, 3*time.Second)
+	}
+	if time.Since(m.begun)+wait >= m.class.Deadline {
+		return false
+	}
+	time.Sleep(wait)
+	return true
+}
+
+// Noticed has a message come again that a relay handed back.
+func (c *Clients) Noticed(id, status string, after time.Duration) {
+	c.mu.Lock()
+	m := c.open[id]
+	delete(c.open, id)
+	c.mu.Unlock()
+	if m == nil || status != "deferred" || c.stop.Load() {
+		return
+	}
+	c.wait.Add(1)
+	go func() {
+		defer c.wait.Done()
+		if c.comeAgain(m, after) {
+			c.hand(m, "")
+		}
+	}()
+}
+
+// try hands a message in once. Status 0 is no answer.
+func (c *Clients) try(m *message, id, relay, addr, mark string, left time.Duration) (status int, after time.Duration, how string) {
+	var head strings.Builder
+	fmt.Fprintf(&head, "POST /api HTTP/1.1\r\nHost: api.internal\r\nX-Request-Id: %s\r\nX-Class: %s\r\nX-Tenant: %s\r\nX-Deadline-Ms: %d\r\n"+
+		"Idempotency-Key: %s\r\nContent-Length: %d\r\nX-Addressing: dest=%d\r\n", id, m.class.Name, m.tenant, left.Milliseconds(), m.key, len(m.body), m.dest)
+	if mark != "" {
+		fmt.Fprintf(&head, "X-Retry: %s\r\n", mark)
+	}
+	request := append([]byte(head.String()+"\r\n"), m.body...)
+	key := fmt.Sprint(m.client, " ", relay)
+	begin := time.Now()
+	end := begin.Add(patience)
+	if m.early {
+		end = begin.Add(2 * time.Millisecond)
+	}
+	for fresh := false; ; fresh = true {
+		conn, err := c.connect(m.client, key, relay, addr, end, fresh)
+		if err != nil {
+			return 0, 0, "no connection"
+		}
+		conn.SetReadDeadline(end)
+		conn.Write(request)
+		resp, err := http.ReadResponse(conn.in, nil)
+		if err == nil {
+			_, err = io.Copy(io.Discard, resp.Body)
+		}
+		if err != nil {
+			late := !time.Now().Before(end)
+			conn.Abort()
+			switch {
+			case late && m.early:
+				return 0, 0, "early"
+			case late:
+				return 0, 0, "no answer in time"
+			case conn.used && !fresh: // it was closed as the request crossed it
+				continue
+			}
+			return 0, 0, "connection ended"
+		}
+		heard := c.Clock.Now()
+		conn.SetReadDeadline(time.Time{})
+		s, _ := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+		after = time.Duration(s * float64(time.Second))
+		c.Record(history.Event{T: heard, Kind: history.Heard, Relay: relay, ID: id, Status: resp.StatusCode, Wait: after.Milliseconds()})
+		conn.used = true
+		if resp.Close {
+			conn.Close()
+		} else {
+			c.keep(key, conn)
+		}
+		return resp.StatusCode, after, ""
+	}
+}
+
+// connect takes a kept connection, or opens one.
+func (c *Clients) connect(client int, key, relay, addr string, end time.Time, fresh bool) (*clientConn, error) {
+	for !fresh {
+		c.mu.Lock()
+		kept := c.idle[key]
+		if len(kept) == 0 {
+			c.mu.Unlock()
+			break
+		}
+		conn := kept[len(kept)-1]
+		c.idle[key] = kept[:len(kept)-1]
+		c.mu.Unlock()
+		select {
+		case <-conn.Gone():
+			conn.Abort()
+			continue
+		default:
+		}
+		return conn, nil
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), end)
+	defer cancel()
+	source := fmt.Sprintf("127.1.%d.%d", client/250, 1+client%250)
+	conn, err := c.Net.Dial(ctx, fmt.Sprintf("client/%d", client), relay, source, addr)
+	if err != nil {
+		return nil, err
+	}
+	return &clientConn{Conn: conn, in: bufio.NewReader(conn)}, nil
+}
+
+func (c *Clients) keep(key string, conn *clientConn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.idle[key]) >= idleMost {
+		conn.Close()
+		return
+	}
+	c.idle[key] = append(c.idle[key], conn)
+}
+
+// Close ends the connections that are kept.
+func (c *Clients) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, kept := range c.idle {
+		for _, conn := range kept {
+			conn.Abort()
+		}
+	}
+	c.idle = map[string][]*clientConn{}
+}
+
+// Figures reads a relay's figures at its second address.
+func Figures(ctx context.Context, addr string) (map[string]float64, error) {
+	status, body, err := operate(ctx, "GET", addr, "/metrics")
+	if err != nil {
+		return nil, err
+	}
+	if status != http.StatusOK {
+		return nil, fmt.Errorf("/metrics: status %d", status)
+	}
+	figures := map[string]float64{}
+	for line := range bytes.Lines(body) {
+		name, value, ok := strings.Cut(strings.TrimSpace(string(line)), "=")
+		if !ok {
+			continue
+		}
+		v, err := strconv.ParseFloat(value, 64)
+		if err != nil {
+			return nil, fmt.Errorf("/metrics: %q", line)
+		}
+		figures[name] = v
+	}
+	return figures, nil
+}
+
+// Ready tells whether a relay's second address says that it can serve.
+func Ready(ctx context.Context, addr string) bool {
+	status, _, err := operate(ctx, "GET", addr, "/ready")
+	return err == nil && status/100 == 2
+}
+
+// ByHand takes an endpoint out at a relay, or gives it back.
+func ByHand(ctx context.Context, addr, endpoint string, out bool) (status int, err error) {
+	what := "enable"
+	if out {
+		what = "disable"
+	}
+	status, _, err = operate(ctx, "PUT", addr, "/endpoints/"+what+"/"+ID(endpoint))
+	return status, err
+}
+
+// operators make one call on a connection.
+var operators = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+
+func operate(ctx context.Context, method, addr, path string) (int, []byte, error) {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+addr+path, nil)
+	if err != nil {
+		return 0, nil, err
+	}
+	resp, err := operators.Do(req)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, 1<<20))
+	return resp.StatusCode, body, err
+}
--- /dev/null
+++ b/internal/lab/platform/discovery.go
@@ -0,0 +1,278 @@
+package platform
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"larchrouter/internal/lab/history"
+	"larchrouter/internal/lab/link"
+)
+
+// Entry is an endpoint as the list has it.
+type Entry struct {
+	ID      string  `json:"id"`
+	Addr    string  `json:"addr"`
+	Zone    string  `json:"zone"`
+	Kind    string  `json:"kind"`
+	Cell    int     `json:"cell"`
+	State   string  `json:"state"`
+	Weight  float64 `json:"weight"`
+	Started int64   `json:"started_ms"`
+	version int64   // of the last change
+}
+
+type answer struct {
+	Version int64   `json:"version"`
+	Full    bool    `json:"full"`
+	Servers []Entry `json:"servers"`
+}
+
+// Discovery tells relays of endpoints, late, and takes their notices.
+type Discovery struct {
+	Env
+	Noticed func(id, status string, after time.Duration) // a message has ended with a notice
+
+	mu      sync.Mutex
+	version int64
+	entries []Entry                      // in the order in which they were added; those that left stay, as such
+	addrs   map[string]map[string]string // by relay and endpoint
+	changed chan struct{}
+	down    chan struct{} // closed while it is down
+	isDown  bool
+	late    time.Duration
+	queue   chan struct{} // a place at the counter: calls are handled in turn
+	watches map[string]int
+	last    map[string]time.Time // when a watch of a relay was answered last
+}
+
+// watchGap is the time in which a relay has to call again for its watch to go on.
+const watchGap = 200 * time.Millisecond
+
+// callMost is how long a call waits for its turn before it fails.
+const callMost = 2 * time.Second
+
+// NewDiscovery lists all endpoints of the partners.
+func NewDiscovery(env Env, p *Partners) *Discovery {
+	d := &Discovery{Env: env, version: 1, changed: make(chan struct{}), down: make(chan struct{}), queue: make(chan struct{}, 1),
+		addrs: map[string]map[string]string{}, watches: map[string]int{}, last: map[string]time.Time{}}
+	for _, party := range env.Scenario.Parties() {
+		if e := p.eps[party.Name]; e != nil {
+			d.entries = append(d.entries, Entry{ID: e.id, Zone: party.Zone, Kind: env.Draw.Kinds[e.of.Kind].Name, Cell: e.of.Number,
+				State: "active", Weight: e.of.Listed, version: 1})
+		}
+	}
+	return d
+}
+
+// Reach says at which address a relay reaches an endpoint.
+func (d *Discovery) Reach(relay, endpoint, addr string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.addrs[relay] == nil {
+		d.addrs[relay] = map[string]string{}
+	}
+	d.addrs[relay][ID(endpoint)] = addr
+}
+
+// Serve lets a relay reach discovery at an address of its own.
+func (d *Discovery) Serve(relay, addr string) (string, error) {
+	return d.Net.Serve(relay, "discovery", addr, func(c *link.Conn) {
+		requests(c, 1<<20, func(a *asked) bool { return d.handle(relay, a) })
+	})
+}
+
+// List is the whole list as a relay gets it, and its version.
+func (d *Discovery) List(relay string) (data []byte, version int64, err error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	data, err = json.Marshal(d.list(relay, 0))
+	return data, d.version, err
+}
+
+// list has what changed after a version, or the whole list for 0. The lock is held.
+func (d *Discovery) list(relay string, since int64) answer {
+	l := answer{Version: d.version, Full: since == 0 || since > d.version, Servers: []Entry{}}
+	for _, e := range d.entries {
+		if l.Full && e.State == "left" || !l.Full && e.version <= since {
+			continue
+		}
+		e.Addr = d.addrs[relay][e.ID]
+		l.Servers = append(l.Servers, e)
+	}
+	return l
+}
+
+// Set changes the state of an endpoint: discovery hears of it late, and tells it from then on.
+func (d *Discovery) Set(endpoint, state string, then func()) {
+	d.change(endpoint, func(e *Entry) { e.State = state }, then)
+}
+
+// Weigh lists another rate for an endpoint, as late as any change.
+func (d *Discovery) Weigh(endpoint string, rate float64) {
+	d.change(endpoint, func(e *Entry) { e.Weight = rate }, nil)
+}
+
+func (d *Discovery) change(endpoint string, how func(*Entry), then func()) {
+	d.mu.Lock()
+	wait := time.Duration(d.Draw.ListDelay*float64(time.Second)) + d.late
+	d.mu.Unlock()
+	time.AfterFunc(wait, func() {
+		d.mu.Lock()
+		d.version++
+		state := ""
+		for i := range d.entries {
+			if e := &d.entries[i]; e.ID == ID(endpoint) {
+				how(e)
+				e.version, state = d.version, e.State
+			}
+		}
+		now := d.Clock.Now()
+		d.Record(history.Event{T: now, Kind: history.Change, Version: d.version, Endpoint: endpoint, State: state})
+		if !d.isDown {
+			for relay, at := range d.last {
+				if d.watches[relay] == 0 && time.Since(at) < watchGap { // it counts as told in between
+					d.Record(history.Event{T: now, Kind: history.Told, Relay: relay, Version: d.version, How: "between watches"})
+				}
+			}
+		}
+		close(d.changed)
+		d.changed = make(chan struct{})
+		d.mu.Unlock()
+		if then != nil {
+			then()
+		}
+	})
+}
+
+// Down has calls for the list fail until Down(false).
+func (d *Discovery) Down(down bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if down && !d.isDown {
+		close(d.down)
+	}
+	if !down && d.isDown {
+		d.down = make(chan struct{})
+	}
+	d.isDown = down
+}
+
+// Late has discovery hear of changes so much later.
+func (d *Discovery) Late(by time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.late = by
+}
+
+func (d *Discovery) handle(relay string, a *asked) bool {
+	switch {
+	case a.Method == "POST" && a.URL.Path == "/status":
+		return d.notices(relay, a)
+	case a.Method == "GET" && a.URL.Path == "/discovery/hosts":
+		return d.tell(relay, a)
+	}
+	return respond(a.conn, http.StatusNotFound, "", nil, nil) == nil
+}
+
+// notices takes the ends of messages, also while discovery is down.
+func (d *Discovery) notices(relay string, a *asked) bool {
+	type notice struct {
+		ID     string `json:"id"`
+		Status string `json:"status"`
+		Again  int64  `json:"again_ms"`
+	}
+	var all []notice
+	for line := range bytes.Lines(a.body) {
+		if len(bytes.TrimSpace(line)) == 0 {
+			continue
+		}
+		var n notice
+		if err := json.Unmarshal(line, &n); err != nil || n.ID == "" || n.Status != "undeliverable" && n.Status != "deferred" {
+			d.Record(history.Event{T: d.Clock.Now(), Kind: history.Bad, Relay: relay, Endpoint: "status", Text: "notice " + string(line)})
+			return respond(a.conn, http.StatusBadRequest, "", nil, nil) == nil
+		}
+		all = append(all, n)
+	}
+	for _, n := range all {
+		d.Record(history.Event{T: a.whole, Kind: history.Notice, Relay: relay, ID: n.ID, How: n.Status, Wait: n.Again})
+		if d.Noticed != nil {
+			d.Noticed(n.ID, n.Status, time.Duration(n.Again)*time.Millisecond)
+		}
+	}
+	return respond(a.conn, http.StatusNoContent, "", nil, nil) == nil
+}
+
+// tell answers a call for the list, or a watch once there is something new.
+func (d *Discovery) tell(relay string, a *asked) bool {
+	since, _ := strconv.ParseInt(a.URL.Query().Get("since"), 10, 64)
+	ms, _ := strconv.ParseInt(a.URL.Query().Get("timeout_ms"), 10, 64)
+	wait := time.Duration(min(max(ms, 0), 60000)) * time.Millisecond
+	d.Record(history.Event{T: a.whole, Kind: history.Asked, Relay: relay, Version: since, Left: wait.Milliseconds()})
+	fail := func() bool {
+		d.Record(history.Event{T: d.Clock.Now(), Kind: history.Untold, Relay: relay})
+		return respond(a.conn, http.StatusServiceUnavailable, "", nil, nil) == nil
+	}
+	select {
+	case d.queue <- struct{}{}:
+		time.Sleep(time.Duration(d.Draw.ListCost * float64(time.Second)))
+		<-d.queue
+	case <-time.After(callMost):
+		return fail()
+	}
+	watch := since > 0 && wait > 0
+	d.mu.Lock()
+	changed, down, current := d.changed, d.down, d.version
+	if d.isDown {
+		d.mu.Unlock()
+		return fail()
+	}
+	if watch {
+		d.watches[relay]++
+	}
+	d.mu.Unlock()
+	if watch && since == current {
+		timer := time.NewTimer(wait)
+		select {
+		case <-changed:
+		case <-timer.C:
+		case <-down:
+		case <-a.conn.Gone():
+		}
+		timer.Stop()
+	}
+	d.mu.Lock()
+	l, isDown := d.list(relay, since), d.isDown
+	if watch {
+		d.watches[relay]--
+	}
+	if !isDown {
+		delete(d.last, relay)
+		if watch {
+			d.last[relay] = time.Now()
+		}
+	}
+	d.mu.Unlock()
+	if isDown {
+		return fail()
+	}
+	body, err := json.Marshal(l)
+	if err != nil {
+		return false
+	}
+	sent := d.Clock.Now()
+	how := fmt.Sprint(len(l.Servers), " entries")
+	return respond(a.conn, http.StatusOK, "Content-Type: application/json\r\n", body, func(at int64, ok bool) {
+		if !ok { // it counts as told some time after, whether it arrived or not
+			at, how = sent+toldAnyway.Microseconds(), "lost"
+		}
+		d.Record(history.Event{T: min(at, sent+toldAnyway.Microseconds()), Kind: history.Told, Relay: relay, Version: l.Version, How: how})
+	}) == nil
+}
+
+// toldAnyway is when an answer counts as told that did not arrive.
+const toldAnyway = 6 * time.Second
--- /dev/null
+++ b/internal/lab/platform/draw.go
@@ -0,0 +1,176 @@
+// Package platform emulates what relays meet on the platform, from its published pages alone: clients,
+// destinations with their endpoints, discovery, the taker of notices, and operators at the second address.
+package platform
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"larchrouter/internal/lab/history"
+	"larchrouter/internal/lab/scenario"
+)
+
+// Kind is a kind of destination.
+type Kind struct {
+	Name    string
+	PerCall int // messages in one call
+}
+
+// Dest is what the seed drew of one destination. All times are seconds.
+type Dest struct {
+	Number   int
+	Kind     int
+	Share    float64 // of the messages
+	Rate     float64 // calls a second that it takes from all relays together; 0 for no limit but its capacity
+	Window   float64 // it counts calls in spans of this length; 0 for a plain rate
+	Tells    float64 // share of its refusals that tell how long to wait
+	Wait     float64 // that wait, where there is no span
+	Spend    bool    // refused calls use the limit up too
+	Median   float64 // of a call's time
+	Sigma    float64 // of its logarithm
+	Capacity float64 // calls a second of each of its endpoints
+	Depth    float64 // seconds of calls that each holds waiting
+	Conns    int     // connections that each holds
+	ItemCost float64 // a further message in a call costs so much of the first
+	Listed   float64 // the rate as the list has it, rough
+	ColdFrom float64 // share of its capacity with which it returns
+}
+
+// Draw is all that a seed has drawn. It is printed with a run's result, and can be put in a file to fix it.
+type Draw struct {
+	Kinds       []Kind
+	Dests       []Dest
+	Tenants     []Tenant
+	Classes     []history.Class
+	Honour      float64 // share of clients that heed a time to come again
+	Retries     int     // times that a client comes again after a refusal
+	Backoff     float64 // seconds
+	Notice      float64 // seconds until the front notices a dead relay
+	ListDelay   float64 // seconds until discovery knows of a change
+	ListCost    float64 // seconds that discovery needs for a call
+	ReportEvery float64
+	ReportNoise float64
+	Error       float64 // share of calls that fail on a sound day
+	Cold        float64
+	Handshake   float64
+}
+
+// Tenant is a mill and its share.
+type Tenant struct {
+	Name  string
+	Share float64
+}
+
+func between(r *rand.Rand, low, high float64) float64 { return low + r.Float64()*(high-low) }
+
+// NewDraw draws a platform within what a scenario says.
+func NewDraw(s *scenario.Scenario) *Draw {
+	r := rand.New(rand.NewPCG(s.Seed, 0x1a))
+	d := &Draw{Kinds: []Kind{{"big-buyers", 20}, {"small-partners", 1}},
+		Tenants: []Tenant{{"sibiu", 0.30}, {"brasov", 0.27}, {"arad", 0.19}, {"bacau", 0.15}, {"buhusi", 0.09}},
+		Honour:  between(r, 0.49, 0.99), Retries: r.IntN(2), Backoff: between(r, 0.73, 1.5), Notice: between(r, 0.87, 3.9),
+		ListDelay: between(r, 1.7, 4.9), ListCost: between(r, 0.002, 0.01), ReportEvery: between(r, 0.14, 0.89),
+		ReportNoise: between(r, 0.059, 0.14), Error: between(r, 0, 0.004), Cold: time.Duration(s.Platform.Cold).Seconds(),
+		Handshake: between(r, 0.001, 0.004)}
+	deadline := time.Duration(s.Load.Deadline)
+	d.Classes = []history.Class{{Name: "order-msg", Effect: "deduplicated", Window: min(15*time.Second, deadline),
+		Aim: deadline / 4, Deadline: deadline, Worth: 1, LateShare: 0.3}}
+	zipf, sum := between(r, 0.65, 0.96), 0.0
+	for i := range s.Platform.Destinations {
+		sum += math.Pow(float64(i+1), -zipf)
+	}
+	for i := range s.Platform.Destinations {
+		v := Dest{Number: i, Kind: i % 3 & 1, Share: math.Pow(float64(i+1), -zipf) / sum, Rate: s.Platform.Limit,
+			Median: time.Duration(s.Platform.Latency).Seconds() * between(r, 0.6, 1.6), Sigma: between(r, 0.3, 0.9),
+			Depth: between(r, 0.35, 0.98), ItemCost: between(r, 0.057, 0.23), ColdFrom: between(r, 0.29, 0.41),
+			Conns: s.Fleet.Relays*8 + 16}
+		if i%3 == 1 { // one in three is large, counts in spans and takes many messages in a call
+			v.Kind, v.Window, v.Tells, v.Spend = 0, between(r, 1, 2), between(r, 0.62, 0.93), r.IntN(2) == 0
+		} else {
+			v.Kind, v.Wait, v.Tells, v.Spend = 1, between(r, 0.44, 2), between(r, 0.57, 0.98), true
+		}
+		need := max(v.Rate, s.Load.Rate*v.Share*s.Load.Burst)
+		v.Capacity = need * between(r, 1.2, 1.5) / float64(s.Platform.Endpoints)
+		v.Listed = need * between(r, 0.67, 1.5)
+		d.Dests = append(d.Dests, v)
+	}
+	return d
+}
+
+// Config is a relay's configuration, as the platform writes it.
+type Config struct {
+	Name      string          `json:"name"`
+	Listen    string          `json:"listen"`
+	Admin     string          `json:"admin_addr"`
+	Discovery string          `json:"discovery"`
+	Seed      string          `json:"seed"`
+	Limits    map[string]any  `json:"limits"`
+	Known     json.RawMessage `json:"known"`
+	Settings  map[string]any  `json:"settings"`
+}
+
+// Settings is the settings object of one relay.
+func (d *Draw) Settings(s *scenario.Scenario, index int) map[string]any {
+	var classes, tenants []any
+	total := s.Load.Rate * max(1, s.Load.Burst)
+	for _, c := range d.Classes {
+		classes = append(classes, map[string]any{"name": c.Name, "aim": c.Aim.Seconds(), "give-up": c.Deadline.Seconds(), "effect": c.Effect,
+			"group": "all", "late-share": c.LateShare, "window": c.Window.Seconds(), "worth": c.Worth, "stream": false})
+	}
+	for _, t := range d.Tenants {
+		tenants = append(tenants, map[string]any{"name": t.Name, "fraction": t.Share, "quota-per-s": max(1, total*t.Share*1.2)})
+	}
+	var skus, own, per []any
+	for _, k := range d.Kinds {
+		skus, own, per = append(skus, k.Name), append(own, false), append(per, k.PerCall)
+	}
+	var busy float64
+	for _, v := range d.Dests {
+		busy += total * v.Share * v.Median * math.Exp(v.Sigma*v.Sigma/2)
+	}
+	n := float64(s.Fleet.Relays)
+	fees := make([]float64, len(s.Fleet.Zones))
+	return map[string]any{
+		"bounds": map[string]any{"cancel": true, "conn-idle": 10.0, "cpu-us-per-request": 0.0, "cpu-us-per-s": 500000, "dial-timeout": 1.5,
+			"max-attempts": 8, "max-retry-after": 3.0, "most-held": max(32, int(total/n*8)), "peers": false, "probes": false,
+			"retry-after": true, "second-copies": false, "streams-per-conn": 1},
+		"classes": classes, "client-habits": map[string]any{"marks-retry": false}, "domain-type": "deliver",
+		"family-info": map[string]any{"late": "halving", "own-limits": own, "per-call": per, "workers": max(8, int(busy/n*2.5)+4),
+			"refused-price": 0.05, "zone-fee": fees},
+		"fleet-size": s.Fleet.Relays, "index": index, "tier": 0, "tiers": []any{"partner-systems"},
+		"goal":             map[string]any{"whole": 0.4, "worst-class": 0.0, "worst-tenant": 0.35, "worst-window": 0.25},
+		"load-report":      map[string]any{"columns": []any{"x0", "x1"}, "how": "inline"},
+		"over-share-worth": 0.05, "prices": map[string]any{"handshake": 0.06, "late-fail": 0.03, "waste": 0.05},
+		"registry-mode": "subscribe",
+		"rules": map[string]any{"ask-within": 10.0, "cold": d.Cold, "cold-from": 0.29, "drain-grace": 1.0, "fall": 2.0,
+			"grace-to-answer": 0.3, "overload-factor": 1.5},
+		"skus": skus, "tenants": tenants, "tick": 0.005, "weights": "rough", "worth-by": "request",
+		"zone": index % len(s.Fleet.Zones), "zones": s.Fleet.Zones,
+	}
+}
+
+// Terms are the figures by which the run's history is judged.
+func (d *Draw) Terms(s *scenario.Scenario) *history.Terms {
+	t := &history.Terms{Seed: s.Seed, Classes: d.Classes, MaxAttempts: 8, DrainGrace: time.Second, AskWithin: 10 * time.Second,
+		Endpoints: map[string]int{}, Zones: map[string]string{}, Dests: len(d.Dests), Limits: map[string]history.Limits{}}
+	for _, p := range s.Parties() {
+		switch {
+		case len(p.Name) > 9 && p.Name[:9] == "endpoint/":
+			t.Endpoints[p.Name], t.Zones[p.Name] = p.Dest, p.Zone
+		case len(p.Name) > 6 && p.Name[:6] == "relay/":
+			t.Limits[p.Name] = history.Limits{MemoryMB: s.Fleet.MemoryMB, Sockets: float64(s.Fleet.Sockets), DiskMB: s.Fleet.DiskMB}
+		}
+	}
+	return t
+}
+
+func (d *Dest) String() string {
+	kind := "rate"
+	if d.Window > 0 {
+		kind = fmt.Sprintf("in spans of %.2f s", d.Window)
+	}
+	return fmt.Sprintf("dest %d: %.0f%% of messages, limit %.1f/s %s, %.0f ms", d.Number, 100*d.Share, d.Rate, kind, 1000*d.Median)
+}
--- /dev/null
+++ b/internal/lab/relay.go
@@ -0,0 +1,402 @@
+package lab
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"larchrouter/internal/lab/history"
+	"larchrouter/internal/lab/platform"
+	"larchrouter/internal/lab/proc"
+)
+
+// The times of the platform's page on restarts.
+const (
+	readyIn     = 30 * time.Second        // for a relay that starts
+	lastClients = 300 * time.Millisecond  // new connections come for so long after SIGTERM
+	killAfter   = 3700 * time.Millisecond // from SIGTERM to SIGKILL
+	restartIn   = 600 * time.Millisecond  // from the end to the next start
+)
+
+// relay is one relay of the run: its name, folder and addresses stay the same across its processes.
+type relay struct {
+	name   string
+	w      *world
+	dir    string // of configuration, logs and state
+	listen string
+	config platform.Config
+
+	mu     sync.Mutex // starts and ends of processes come one after the other
+	now    *proc.Process
+	admin  string
+	n      int // processes so far
+	paused bool
+	quit   bool // the run ends
+}
+
+// freeAddr finds a port of an address that nobody listens on.
+func freeAddr(ip string) (string, error) {
+	l, err := net.Listen("tcp4", ip+":0")
+	if err != nil {
+		return "", err
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
+// newRelay makes a relay's folder, addresses and links.
+func newRelay(w *world, index int) (*relay, error) {
+	r := &relay{name: fmt.Sprintf("relay/%d", index), w: w, dir: filepath.Join(w.dir, fmt.Sprintf("relay-%d", index))}
+	ip := fmt.Sprintf("127.2.%d.%d", index/250, 1+index%250)
+	for _, d := range []string{"state", "tmp"} {
+		if err := os.MkdirAll(filepath.Join(r.dir, d), 0o755); err != nil {
+			return nil, err
+		}
+	}
+	var err error
+	if r.listen, err = freeAddr(ip); err != nil {
+		return nil, err
+	}
+	for _, p := range w.scenario.Parties() {
+		if !strings.HasPrefix(p.Name, "endpoint/") {
+			continue
+		}
+		addr, err := w.partners.Serve(r.name, p.Name, ip+":0")
+		if err != nil {
+			return nil, err
+		}
+		w.discovery.Reach(r.name, p.Name, addr)
+	}
+	discovery, err := w.discovery.Serve(r.name, ip+":0")
+	if err != nil {
+		return nil, err
+	}
+	f := w.scenario.Fleet
+	r.config = platform.Config{Name: r.name, Listen: r.listen, Discovery: discovery, Seed: fmt.Sprintf("%016x", w.scenario.Seed*1000003+uint64(index)),
+		Limits:   map[string]any{"cores": f.Cores, "memory_mb": f.MemoryMB, "sockets": f.Sockets, "disk_mb": f.DiskMB},
+		Settings: w.draw.Settings(w.scenario, index)}
+	return r, nil
+}
+
+func (r *relay) configPath() string { return filepath.Join(r.dir, "config.json") }
+
+// write puts a configuration in place, whole.
+func (r *relay) write(data []byte) error {
+	next := r.configPath() + ".next"
+	if err := os.WriteFile(next, data, 0o644); err != nil {
+		return err
+	}
+	return os.Rename(next, r.configPath())
+}
+
+// encode is the configuration as it stands.
+func (r *relay) encode() ([]byte, error) {
+	known, version, err := r.w.discovery.List(r.name)
+	if err != nil {
+		return nil, err
+	}
+	r.config.Known = known
+	r.w.record(history.Event{Kind: history.Told, Relay: r.name, Version: version, How: "configuration"})
+	return json.MarshalIndent(r.config, "", " ")
+}
+
+// begin starts a process of the relay, and returns once it can serve. Beside says that one runs already.
+func (r *relay) begin(ctx context.Context, beside bool) error {
+	admin, err := freeAddr(strings.Split(r.listen, ":")[0])
+	if err != nil {
+		return err
+	}
+	r.config.Admin = admin
+	data, err := r.encode()
+	if err != nil {
+		return err
+	}
+	if err := r.write(data); err != nil {
+		return err
+	}
+	text := ""
+	if beside {
+		text = "beside"
+	}
+	r.n++
+	env := []string{"BALANCER_NAME=" + r.name, "BALANCER_LISTEN=" + r.listen, "BALANCER_DISCOVERY=" + r.config.Discovery,
+		"BALANCER_STATE=" + filepath.Join(r.dir, "state"), "BALANCER_CONFIG=" + r.configPath(), "BALANCER_ADMIN_ADDR=" + admin,
+		"TMPDIR=" + filepath.Join(r.dir, "tmp")}
+	log := r.logPath()
+	r.w.record(history.Event{Kind: history.Proc, Proc: r.name, How: "start", Text: text})
+	p, err := proc.Start(proc.Spec{Name: r.name, Command: r.w.options.Command, Dir: r.w.options.Root, Env: append(env, r.w.options.Env...), Sockets: r.w.scenario.Fleet.Sockets,
+		Log: log}, func(p *proc.Process) { r.ended(p, log) })
+	if err != nil {
+		return err
+	}
+	for end := time.Now().Add(readyIn); !r.serves(ctx, admin); time.Sleep(10 * time.Millisecond) {
+		select {
+		case <-p.Done():
+			return fmt.Errorf("%s ended before it could serve: %v\n%s", r.name, p.Err(), strings.Join(proc.Tail(log, 5), "\n"))
+		case <-ctx.Done():
+			p.Kill()
+			return ctx.Err()
+		default:
+		}
+		if time.Now().After(end) {
+			p.Kill()
+			return fmt.Errorf("%s cannot serve after %s\n%s", r.name, readyIn, strings.Join(proc.Tail(log, 5), "\n"))
+		}
+	}
+	r.now, r.admin = p, admin
+	r.w.record(history.Event{Kind: history.Proc, Proc: r.name, PID: p.PID, How: "ready"})
+	r.w.front.Use(r.name, true)
+	return nil
+}
+
+func (r *relay) logPath() string { return filepath.Join(r.dir, fmt.Sprintf("log-%d.txt", r.n)) }
+
+// serves tells whether a process says that it can serve, at both addresses.
+func (r *relay) serves(ctx context.Context, admin string) bool {
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	if !platform.Ready(ctx, admin) {
+		return false
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+r.listen+"/up", nil)
+	if err != nil {
+		return false
+	}
+	req.Close = true
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return false
+	}
+	resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// ended tells of a process that has ended.
+func (r *relay) ended(p *proc.Process, log string) {
+	how := "exit"
+	text := "in order"
+	if err := p.Err(); err != nil {
+		text = err.Error()
+	}
+	if !p.Expected() {
+		how = "crash"
+		text = fmt.Sprintf("ended unasked (%s): %s", text, strings.Join(proc.Tail(log, 3), " | "))
+	}
+	r.w.record(history.Event{Kind: history.Proc, Proc: r.name, PID: p.PID, How: how, Text: text})
+}
+
+// notice has the front notice, some time after, that a relay has gone.
+func (r *relay) notice(after time.Duration, n int) {
+	time.AfterFunc(after, func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if r.n == n || r.now == nil { // it has not come back meanwhile
+			r.w.front.Use(r.name, false)
+		}
+	})
+}
+
+// kill ends the relay's process by SIGKILL, and starts it again after a while.
+func (r *relay) kill(ctx context.Context, out time.Duration) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.now == nil {
+		return nil
+	}
+	r.w.record(history.Event{Kind: history.Proc, Proc: r.name, PID: r.now.PID, How: "kill"})
+	r.now.Kill()
+	r.now = nil
+	go r.notice(r.w.noticed(), r.n)
+	return r.again(ctx, max(out, restartIn))
+}
+
+// again starts a process in place of one that has ended. The lock is held.
+func (r *relay) again(ctx context.Context, after time.Duration) error {
+	n := r.n
+	r.mu.Unlock()
+	select {
+	case <-ctx.Done():
+	case <-time.After(after):
+	}
+	r.mu.Lock()
+	if ctx.Err() != nil || r.quit || r.n != n {
+		return nil
+	}
+	return r.begin(ctx, false)
+}
+
+// term restarts the relay in order: SIGTERM, and SIGKILL if it has not ended by then.
+func (r *relay) term(ctx context.Context, out time.Duration) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.now == nil {
+		return nil
+	}
+	r.w.record(history.Event{Kind: history.Proc, Proc: r.name, PID: r.now.PID, How: "term"})
+	time.AfterFunc(lastClients, func() { r.w.front.Use(r.name, false) })
+	r.now.End(killAfter)
+	r.now = nil
+	return r.again(ctx, max(out, restartIn))
+}
+
+// upgrade starts a process beside the one that runs, which then ends.
+func (r *relay) upgrade(ctx context.Context) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	old := r.now
+	if old == nil {
+		return nil
+	}
+	if err := r.begin(ctx, true); err != nil {
+		return fmt.Errorf("upgrade: %w", err)
+	}
+	r.w.record(history.Event{Kind: history.Proc, Proc: r.name, PID: old.PID, How: "term", Text: "handed over"})
+	old.End(killAfter)
+	return nil
+}
+
+// pause stops the relay's process for a while.
+func (r *relay) pause(ctx context.Context, length time.Duration) error {
+	r.mu.Lock()
+	p := r.now
+	if p == nil {
+		r.mu.Unlock()
+		return nil
+	}
+	r.paused = true
+	r.w.record(history.Event{Kind: history.Proc, Proc: r.name, PID: p.PID, How: "stop"})
+	err := p.Signal(syscall.SIGSTOP, false)
+	r.mu.Unlock()
+	select {
+	case <-ctx.Done():
+	case <-time.After(length):
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.paused = false
+	err = errors.Join(err, p.Signal(syscall.SIGCONT, false))
+	r.w.record(history.Event{Kind: history.Proc, Proc: r.name, PID: p.PID, How: "cont"})
+	return err
+}
+
+// retune puts a changed configuration in place and sends SIGHUP. Broken says how the file is spoilt.
+func (r *relay) retune(change func(settings map[string]any), broken string) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.now == nil {
+		return nil
+	}
+	change(r.config.Settings)
+	data, err := r.encode()
+	if err != nil {
+		return err
+	}
+	switch broken {
+	case "cut":
+		data = data[:len(data)/2]
+	case "empty":
+		data = nil
+	case "missing":
+		c := r.config
+		c.Settings = map[string]any{}
+		for k, v := range r.config.Settings {
+			if k != "rules" {
+				c.Settings[k] = v
+			}
+		}
+		if data, err = json.Marshal(c); err != nil {
+			return err
+		}
+	}
+	if err := r.write(data); err != nil {
+		return err
+	}
+	return r.now.Signal(syscall.SIGHUP, false)
+}
+
+// byHand takes an endpoint out at the relay, or gives it back.
+func (r *relay) byHand(ctx context.Context, endpoint string, out bool) error {
+	r.mu.Lock()
+	admin, up := r.admin, r.now != nil
+	r.mu.Unlock()
+	if !up {
+		return nil
+	}
+	how := "enable"
+	if out {
+		how = "disable"
+	}
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	if !out { // it may be sent to from now on
+		r.w.record(history.Event{Kind: history.ByHand, Relay: r.name, Endpoint: endpoint, How: how})
+	}
+	status, err := platform.ByHand(ctx, admin, endpoint, out)
+	if out {
+		r.w.record(history.Event{Kind: history.ByHand, Relay: r.name, Endpoint: endpoint, How: how, Status: status})
+	}
+	if err != nil || status/100 != 2 {
+		return fmt.Errorf("%s: %s %s: status %d, %v", r.name, how, endpoint, status, err)
+	}
+	return nil
+}
+
+// look records what the relay's processes use and what it tells of itself.
+func (r *relay) look(ctx context.Context) Row {
+	r.mu.Lock()
+	p, admin, paused := r.now, r.admin, r.paused
+	r.mu.Unlock()
+	row := Row{Name: r.name, State: "up"}
+	switch {
+	case p == nil:
+		row.State = "down"
+		return row
+	case paused:
+		row.State = "paused"
+	}
+	if u, err := p.Usage(); err == nil {
+		row.Use = u
+		disk, _ := proc.FolderMB(filepath.Join(r.dir, "state"))
+		r.w.record(history.Event{Kind: history.Sample, Proc: r.name, PID: p.PID, Figures: map[string]float64{"cpu_s": u.CPU.Seconds(),
+			"memory_mb": u.MemoryMB, "descriptors": float64(u.Descriptors), "disk_mb": disk}})
+	}
+	if paused {
+		return row
+	}
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	asked := r.w.clock.Now()
+	figures, err := platform.Figures(ctx, admin)
+	if err != nil {
+		row.State = "silent"
+		return row
+	}
+	row.Figures = figures
+	r.w.record(history.Event{Kind: history.Metrics, Relay: r.name, Proc: r.name, PID: p.PID, Whole: asked, Figures: figures})
+	return row
+}
+
+// end has the relay's process end with the run.
+func (r *relay) end() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.quit = true
+	if r.now == nil {
+		return
+	}
+	if r.paused {
+		r.now.Signal(syscall.SIGCONT, false)
+	}
+	r.w.record(history.Event{Kind: history.Proc, Proc: r.name, PID: r.now.PID, How: "term"})
+	r.now.End(killAfter)
+	r.now = nil
+}
--- /dev/null
+++ b/internal/lab/scenario/scenario_test.go
@@ -0,0 +1,100 @@
+package scenario
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+// Guards against a wrong file that runs: what it meant to show would not have been shown.
+func TestBadFilesNameLineAndKey(t *testing.T) {
+	for text, wants := range map[string][]string{
+		"name = \"x\"\nrelays = 3":                             {"line 2", "relays", "no such key"},
+		"[fleet]\nrelays = 0":                                  {"line 2", "fleet.relays", "is 0"},
+		"[fleet]\nkeepers = 3":                                 {"line 2", "no keepers yet"},
+		"[fleet]\nzones = []":                                  {"line 2", "fleet.zones"},
+		"duration = \"-3s\"":                                   {"line 1", "negative"},
+		"duration = \"soon\"":                                  {"line 1", "duration"},
+		"name = ":                                              {"line 1"},
+		"[load]\nrate = 1e9\nburst = 0.5":                      {"line 2", "line 3", "load.rate", "load.burst"},
+		"[[fault]]\nat = \"1s\"\nkind = \"kill\"":              {"line 1", "fault[0]", "names nobody"},
+		"[[fault]]\nkind = \"kill\"\nfrom = \"relay/3\"":       {"names nobody"},
+		"[[fault]]\nkind = \"kill\"\nfrom = \"relays:zone=z\"": {"names nobody"},
+		"\n[[fault]]\nkind = \"cut\"\nfrom = \"relays\"\nto = \"discovery\"":              {"line 2", "needs for"},
+		"[[fault]]\nkind = \"cut\"\nfrom = \"relays\"\nfor = \"1s\"":                      {"nothing that is wrong with"},
+		"[[fault]]\nkind = \"pause\"\nfrom = \"endpoint/1\"\nfor = \"1s\"":                {"nothing that is wrong with"},
+		"[[fault]]\nkind = \"kill\"\nfrom = \"relays\"\nto = \"discovery\"":               {"wrong with a link"},
+		"[[fault]]\nkind = \"errors\"\nfrom = \"endpoint/1\"\nfor = \"1s\"":               {"needs part"},
+		"[[fault]]\nkind = \"cut\"\nfrom = \"keepers\"\nto = \"relays\"":                  {"no keepers yet"},
+		"[[fault]]\nat = \"1h\"\nkind = \"kill\"\nfrom = \"relays\"":                      {"after the end"},
+		"[[step]]\nat = \"1s\"\ndo = \"dance\"":                                           {"line 1", "is no step"},
+		"[[step]]\nat = \"1s\"\ndo = \"release\"":                                         {"needs keepers"},
+		"[[step]]\ndo = \"settings\"":                                                     {"needs set or break"},
+		"[[step]]\ndo = \"settings\"\nset = { colour = 3 }":                               {"colour"},
+		"[[step]]\ndo = \"drain\"\nto = \"relay/1\"":                                      {"is no endpoint"},
+		"[expect]\nserved = 1.5":                                                          {"line 2", "expect.served"},
+		"[expect]\ncontradiction = \"4s\"":                                                {"line 2", "not measured yet"},
+		"[[fault]]\nkind = \"slow\"\nfrom = \"relays\"\nto = \"discovery\"\nfor = \"1s\"": {"needs rate"},
+	} {
+		_, err := Parse([]byte(text))
+		if err == nil {
+			t.Errorf("%q: no error", text)
+			continue
+		}
+		for _, w := range wants {
+			if !strings.Contains(err.Error(), w) {
+				t.Errorf("%q: the error is %q and does not tell %q", text, err, w)
+			}
+		}
+	}
+}
+
+func TestTargets(t *testing.T) {
+	s := Default()
+	s.Fleet.Relays, s.Fleet.Zones = 5, []string{"a", "b"}
+	for text, want := range map[string]string{
+		"relay/2": "relay/2", "relays:zone=b": "relay/1 relay/3", "relays:part=0.4": "relay/0 relay/1",
+		"endpoints:dest=1": "endpoint/1 endpoint/6", "endpoint/3": "endpoint/3", "discovery": "discovery",
+	} {
+		found, err := Resolve(text, s.Parties())
+		if err != nil {
+			t.Errorf("%s: %v", text, err)
+		}
+		var names []string
+		for _, p := range found {
+			names = append(names, p.Name)
+		}
+		if got := strings.Join(names, " "); got != want {
+			t.Errorf("%s names %q, want %q", text, got, want)
+		}
+	}
+}
+
+// Guards against a scenario in the repository that no longer reads.
+func TestScenariosRead(t *testing.T) {
+	files, err := filepath.Glob("../../../scenarios/*.toml")
+	if err != nil || len(files) == 0 {
+		t.Fatalf("no scenarios: %v", err)
+	}
+	for _, f := range files {
+		if _, err := Read(f); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	files, _ := filepath.Glob("../../../scenarios/*.toml")
+	for _, name := range files {
+		if data, err := os.ReadFile(name); err == nil {
+			f.Add(data)
+		}
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		s, err := Parse(data)
+		if err == nil && s.Check() != nil {
+			t.Error("what was read does not pass its own check")
+		}
+	})
+}
