--- a/internal/lab/command/command.go
+++ b/internal/lab/command/command.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -19,7 +18,9 @@
 
 	"larchrouter/internal/lab"
 	"larchrouter/internal/lab/history"
+	"larchrouter/internal/lab/platform"
 	"larchrouter/internal/lab/proc"
+	"larchrouter/internal/lab/report"
 	"larchrouter/internal/lab/rules"
 	"larchrouter/internal/lab/scenario"
 )
@@ -63,7 +64,7 @@
 func newRoot(out io.Writer) *cobra.Command {
 	root := &cobra.Command{Use: "larchlab", Short: "Real relays against an emulated platform, with faults between them",
 		SilenceUsage: true, SilenceErrors: true}
-	root.AddCommand(newUp(out), newRun(out), newCheck(out))
+	root.AddCommand(newUp(out), newRun(out), newSweep(out), newDiff(out), newCheck(out))
 	return root
 }
 
@@ -99,7 +100,7 @@
 
 func newRun(out io.Writer) *cobra.Command {
 	var seed uint64
-	var jsonPath, historyPath string
+	var jsonPath, historyPath, dir, drawn string
 	var keep, noBuild, quiet bool
 	c := &cobra.Command{Use: "run FILE.toml", Short: "Play a scenario and judge it", Args: cobra.ExactArgs(1),
 		Long: "Play a scenario and judge it.\n\nExit code 0: every expectation held. 1: one did not. 2: the file is wrong.\n3: the lab could not go on, or the machine was too busy for the run to show anything.",
@@ -116,6 +117,11 @@
 				return &exit{stuck, err}
 			}
 			o.Keep, o.History = keep, historyPath
+			if drawn != "" {
+				if o.Draw, err = readDraw(drawn, s); err != nil {
+					return &exit{wrongFile, err}
+				}
+			}
 			if !quiet {
 				o.Each = func(p lab.Progress) { fmt.Fprintln(out, line(p)) }
 			}
@@ -124,14 +130,22 @@
 				return &exit{stuck, err}
 			}
 			if jsonPath != "" {
-				if err := writeJSON(jsonPath, r); err != nil {
+				if err := report.WriteJSON(jsonPath, r); err != nil {
+					return &exit{stuck, err}
+				}
+			}
+			if dir != "" {
+				if err := report.Write(dir, r); err != nil {
 					return &exit{stuck, err}
 				}
+				fmt.Fprintln(out, "report:", filepath.Join(dir, "index.html"))
 			}
 			return verdict(c.Context(), out, r)
 		}}
 	c.Flags().Uint64Var(&seed, "seed", 0, "draw with this seed, not with the file's")
 	c.Flags().StringVar(&jsonPath, "json", "", "write the result to this file")
+	c.Flags().StringVar(&dir, "report", "", "write a page with plots to this folder")
+	c.Flags().StringVar(&drawn, "draw", "", "take the platform as it was drawn in this result, not from the seed")
 	c.Flags().StringVar(&historyPath, "history", "", "write the history to this file, to be checked again with larchlab check")
 	c.Flags().BoolVar(&keep, "keep", false, "keep the folder of the run, with logs and configurations")
 	c.Flags().BoolVar(&noBuild, "no-build", false, "start what is built already")
@@ -139,12 +153,17 @@
 	return c
 }
 
-func writeJSON(path string, v any) error {
-	data, err := json.MarshalIndent(v, "", " ")
+// readDraw takes what another run drew, which must be of a platform of the same size.
+func readDraw(path string, s *scenario.Scenario) (*platform.Draw, error) {
+	set, err := report.Read(path)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	return os.WriteFile(path, append(data, '\n'), 0o644)
+	d := set.Runs[0].Draw
+	if d == nil || len(d.Dests) != s.Platform.Destinations {
+		return nil, fmt.Errorf("%s: was not drawn for %d destinations", path, s.Platform.Destinations)
+	}
+	return d, nil
 }
 
 // verdict prints a result, and returns what its exit code has to tell.
@@ -246,6 +265,7 @@
 	s := scenario.Default()
 	s.Name = "up"
 	var rate float64
+	var dir string
 	var noBuild bool
 	c := &cobra.Command{Use: "up", Short: "An emulated platform and relays under steady load, until interrupted", Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
@@ -269,13 +289,19 @@
 				return &exit{stuck, err}
 			}
 			fmt.Fprintln(out)
-			err = verdict(context.Background(), out, r)
-			return err
+			if dir != "" {
+				if err := report.Write(dir, r); err != nil {
+					return &exit{stuck, err}
+				}
+				fmt.Fprintln(out, "report:", filepath.Join(dir, "index.html"))
+			}
+			return verdict(context.Background(), out, r)
 		}}
 	c.Flags().IntVar(&s.Fleet.Relays, "relays", s.Fleet.Relays, "how many relays")
 	c.Flags().IntVar(&s.Fleet.Keepers, "keepers", 0, "how many keepers (not there yet: 0)")
 	c.Flags().Float64Var(&rate, "rate", s.Load.Rate, "messages a second")
 	c.Flags().Uint64Var(&s.Seed, "seed", s.Seed, "what the platform is drawn from")
+	c.Flags().StringVar(&dir, "report", "", "write a page with plots to this folder at the end")
 	c.Flags().Var((*durationFlag)(&s.Duration), "for", "end by itself after this time")
 	c.Flags().BoolVar(&noBuild, "no-build", false, "start what is built already")
 	return c
--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -180,9 +180,8 @@
 		}
 	case "limit":
 		for d := range dests {
-			was := w.partners.Limit(d, f.Part)
+			w.partners.Limit(d, f.Part)
 			defer w.partners.Limit(d, 1/f.Part)
-			w.record(history.Event{Kind: history.Step, Dest: d, Text: fmt.Sprintf("limit of destination %d from %.1f to %.1f", d, was, was*f.Part)})
 		}
 	case "errors", "slow":
 		for _, p := range parties {
--- a/internal/lab/history/history.go
+++ b/internal/lab/history/history.go
@@ -58,6 +58,7 @@
 	Sample  Kind = "sample"  // what a process uses: Proc, Figures
 	Down    Kind = "down"    // an outage of a destination begins: Dest, How
 	Up      Kind = "up"      // and ends: Dest; it is cold from now on where Figures has "cold" seconds
+	Limit   Kind = "limit"   // a destination takes another rate: Dest, Figures has "rate"
 	Fell    Kind = "fell"    // a cold destination was pushed over: Dest, Figures is the load by relay in that span
 	End     Kind = "end"     // the last event: Text says how the run ended
 )
@@ -127,8 +128,8 @@
 	AskWithin   time.Duration     `json:"ask_within"`
 	Endpoints   map[string]int    `json:"endpoints"` // the destination of each at the start
 	Zones       map[string]string `json:"zones"`     // of each endpoint
-	Dests       int               `json:"dests"`
-	Limits      map[string]Limits `json:"limits"` // by process
+	Rates       []float64         `json:"rates"`     // what each destination takes from all relays, in calls a second; 0 for no limit
+	Limits      map[string]Limits `json:"limits"`    // by process
 }
 
 // Limits are a process's.
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -28,13 +28,13 @@
 
 // Options are what a run needs beside its scenario.
 type Options struct {
-	Root    string   // where the command is started
-	Command string   // that starts one relay, as the deploy file has it
-	Env     []string // further variables for it
-	Folder  string   // where the run's folder is made; empty for the system's
-	Keep    bool     // the run's folder, with logs and configurations
-	History string   // file for the history; empty for none
-	Drawn   io.Writer
+	Root    string         // where the command is started
+	Command string         // that starts one relay, as the deploy file has it
+	Env     []string       // further variables for it
+	Folder  string         // where the run's folder is made; empty for the system's
+	Keep    bool           // the run's folder, with logs and configurations
+	History string         // file for the history; empty for none
+	Draw    *platform.Draw // in place of what the seed would draw; nil for that
 	Each    func(Progress) // told every second; nil for nobody
 }
 
@@ -95,6 +95,7 @@
 	options   Options
 	draw      *platform.Draw
 	dir       string
+	block     block
 	clock     *history.Clock
 	recorder  *history.Recorder
 	net       *link.Net
@@ -141,9 +142,16 @@
 	raiseLimits()
 	w := &world{scenario: s, options: o, draw: platform.NewDraw(s), clock: history.NewClock(), front: platform.NewFront(),
 		checker: rules.New(), on: map[string]int{}, rand: rand.New(rand.NewPCG(s.Seed, 0x4d))}
+	if o.Draw != nil {
+		w.draw = o.Draw
+	}
 	if w.dir, err = proc.Folder(orTemp(o.Folder)); err != nil {
 		return nil, err
 	}
+	if w.block, err = takeBlock(); err != nil {
+		return nil, err
+	}
+	defer w.block.lock.Close()
 	if !o.Keep {
 		defer os.RemoveAll(w.dir)
 	}
@@ -161,7 +169,7 @@
 	})
 	w.add(history.Event{Kind: history.Run, Text: s.Name, Terms: w.draw.Terms(s)})
 	w.net = link.NewNet(w.clock)
-	env := platform.Env{Clock: w.clock, Record: w.add, Net: w.net, Scenario: s, Draw: w.draw}
+	env := platform.Env{Clock: w.clock, ClientIP: w.block.clientIP, Record: w.add, Net: w.net, Scenario: s, Draw: w.draw}
 	w.partners = platform.NewPartners(env)
 	w.discovery = platform.NewDiscovery(env, w.partners)
 	w.clients = platform.NewClients(env, w.front)
--- a/internal/lab/link/link.go
+++ b/internal/lab/link/link.go
@@ -228,15 +228,28 @@
 			c.Abort()
 			return
 		}
-		c.far = back.(*net.TCPConn)
-		go c.carryIn(c.far, c.out, nil)
-		go c.carryOut(c.in, c.far)
+		c.both(back.(*net.TCPConn))
+		return
 	}
 	go c.carryIn(sock, c.in, c.leave)
 	go c.carryOut(c.out, sock)
-	if l.serve != nil {
-		l.serve(c)
-	}
+	l.serve(c)
+}
+
+// carry carries what two processes send each other.
+func (l *Link) carry(front, back *net.TCPConn) {
+	c := l.newConn()
+	c.sock = front
+	c.both(back)
+}
+
+// both has a second process at the other end.
+func (c *Conn) both(far *net.TCPConn) {
+	c.far = far
+	go c.carryIn(c.sock, c.in, c.leave)
+	go c.carryOut(c.out, c.sock)
+	go c.carryIn(far, c.out, nil)
+	go c.carryOut(c.in, far)
 }
 
 // Dial opens a connection from a party of the lab, at an address of its own, to a process.
--- a/internal/lab/platform/clients.go
+++ b/internal/lab/platform/clients.go
@@ -330,7 +330,10 @@
 	}
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
-	source := fmt.Sprintf("127.1.%d.%d", client/250, 1+client%250)
+	source := ""
+	if c.ClientIP != nil {
+		source = c.ClientIP(client)
+	}
 	conn, err := c.Net.Dial(ctx, fmt.Sprintf("client/%d", client), relay, source, addr)
 	if err != nil {
 		return nil, err
--- a/internal/lab/platform/draw.go
+++ b/internal/lab/platform/draw.go
@@ -76,8 +76,8 @@
 		ReportNoise: between(r, 0.059, 0.14), Error: between(r, 0, 0.004), Cold: time.Duration(s.Platform.Cold).Seconds(),
 		Handshake: between(r, 0.001, 0.004)}
 	deadline := time.Duration(s.Load.Deadline)
-	d.Classes = []history.Class{{Name: "order-msg", Effect: "deduplicated", Window: min(15*time.Second, deadline),
-		Aim: deadline / 4, Deadline: deadline, Worth: 1, LateShare: 0.3}}
+	d.Classes = []history.Class{{Name: "order-msg", Effect: "deduplicated", Window: deadline * 15 / 24,
+		Aim: deadline / 8, Deadline: deadline, Worth: 1, LateShare: 0.3}}
 	zipf, sum := between(r, 0.65, 0.96), 0.0
 	for i := range s.Platform.Destinations {
 		sum += math.Pow(float64(i+1), -zipf)
@@ -155,7 +155,10 @@
 // Terms are the figures by which the run's history is judged.
 func (d *Draw) Terms(s *scenario.Scenario) *history.Terms {
 	t := &history.Terms{Seed: s.Seed, Classes: d.Classes, MaxAttempts: 8, DrainGrace: time.Second, AskWithin: 10 * time.Second,
-		Endpoints: map[string]int{}, Zones: map[string]string{}, Dests: len(d.Dests), Limits: map[string]history.Limits{}}
+		Endpoints: map[string]int{}, Zones: map[string]string{}, Limits: map[string]history.Limits{}}
+	for _, v := range d.Dests {
+		t.Rates = append(t.Rates, v.Rate)
+	}
 	for _, p := range s.Parties() {
 		switch {
 		case len(p.Name) > 9 && p.Name[:9] == "endpoint/":
--- a/internal/lab/platform/partner.go
+++ b/internal/lab/platform/partner.go
@@ -23,6 +23,7 @@
 	Net      *link.Net
 	Scenario *scenario.Scenario
 	Draw     *Draw
+	ClientIP func(n int) string // where the nth client connects from; nil for anywhere
 }
 
 // Sum is what the history keeps of a body.
@@ -511,16 +512,16 @@
 	e.fails, e.slow = fails, slow
 }
 
-// Limit changes what a destination takes from all relays together by a factor, and returns what it was.
-func (p *Partners) Limit(dest int, factor float64) (was float64) {
+// Limit changes what a destination takes from all relays together by a factor.
+func (p *Partners) Limit(dest int, factor float64) {
 	d := p.dests[dest]
 	d.mu.Lock()
-	defer d.mu.Unlock()
 	d.allow(time.Now())
-	was = d.Rate
 	d.Rate *= factor
 	d.tokens = min(d.tokens, d.burst())
-	return was
+	rate := d.Rate
+	d.mu.Unlock()
+	p.Record(history.Event{T: p.Clock.Now(), Kind: history.Limit, Dest: dest, Figures: map[string]float64{"rate": rate}})
 }
 
 // Drained has an endpoint turn away what comes, for it has been given up.
--- a/internal/lab/relay.go
+++ b/internal/lab/relay.go
@@ -43,27 +43,73 @@
 	quit   bool // the run ends
 }
 
-// freeAddr finds a port of an address that nobody listens on.
-func freeAddr(ip string) (string, error) {
-	l, err := net.Listen("tcp4", ip+":0")
-	if err != nil {
-		return "", err
+// The ports of a relay's addresses: below those that the kernel gives away.
+const (
+	clientPort = 8443
+	adminPort  = 15000
+	portsMost  = 100
+)
+
+// freeAddr finds a port of an address, from one upwards, that nobody listens on.
+func freeAddr(ip string, port int) (addr string, err error) {
+	for p := port; p < port+portsMost; p++ {
+		addr = fmt.Sprintf("%s:%d", ip, p)
+		l, lerr := net.Listen("tcp4", addr)
+		if lerr == nil {
+			l.Close()
+			return addr, nil
+		}
+		err = lerr
+	}
+	return "", err
+}
+
+// block is a part of the loopback range that belongs to this run alone, as long as it holds the lock: processes
+// keep their addresses across restarts, and none may be taken meanwhile by another lab on this machine.
+type block struct {
+	prefix string // 127.N
+	lock   net.Listener
+}
+
+// The blocks, and the port whose listener is the lock of one. What other programs use lies below.
+const (
+	firstBlock = 16
+	lastBlock  = 250
+	lockPort   = 15999
+)
+
+// takeBlock takes a block that no other run has.
+func takeBlock() (block, error) {
+	from := firstBlock + os.Getpid()%(lastBlock-firstBlock)
+	var last error
+	for i := range lastBlock - firstBlock {
+		n := firstBlock + (from-firstBlock+i)%(lastBlock-firstBlock)
+		l, err := net.Listen("tcp4", fmt.Sprintf("127.%d.255.254:%d", n, lockPort))
+		if err == nil {
+			return block{fmt.Sprintf("127.%d", n), l}, nil
+		}
+		last = err
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return block{}, fmt.Errorf("no part of the loopback range is free: %w", last)
 }
 
+// relayIP is the address of the nth relay.
+func (b block) relayIP(n int) string { return fmt.Sprintf("%s.%d.%d", b.prefix, n/250, 1+n%250) }
+
+// clientIP is the address of the nth client.
+func (b block) clientIP(n int) string { return fmt.Sprintf("%s.%d.%d", b.prefix, 100+n/250, 1+n%250) }
+
 // newRelay makes a relay's folder, addresses and links.
 func newRelay(w *world, index int) (*relay, error) {
 	r := &relay{name: fmt.Sprintf("relay/%d", index), w: w, dir: filepath.Join(w.dir, fmt.Sprintf("relay-%d", index))}
-	ip := fmt.Sprintf("127.2.%d.%d", index/250, 1+index%250)
+	ip := w.block.relayIP(index)
 	for _, d := range []string{"state", "tmp"} {
 		if err := os.MkdirAll(filepath.Join(r.dir, d), 0o755); err != nil {
 			return nil, err
 		}
 	}
 	var err error
-	if r.listen, err = freeAddr(ip); err != nil {
+	if r.listen, err = freeAddr(ip, clientPort); err != nil {
 		return nil, err
 	}
 	for _, p := range w.scenario.Parties() {
@@ -111,7 +157,7 @@
 
 // begin starts a process of the relay, and returns once it can serve. Beside says that one runs already.
 func (r *relay) begin(ctx context.Context, beside bool) error {
-	admin, err := freeAddr(strings.Split(r.listen, ":")[0])
+	admin, err := freeAddr(strings.Split(r.listen, ":")[0], adminPort)
 	if err != nil {
 		return err
 	}
--- a/internal/lab/rules/report.go
+++ b/internal/lab/rules/report.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"fmt"
+	"slices"
 
 	"time"
 
@@ -28,6 +29,9 @@
 	Latency Latency         `json:"latency_ms"`
 	Seconds []Second        `json:"seconds"`
 	Use     map[string]*Use `json:"use"`
+	Calls   map[int]*Series `json:"calls"`  // that reached each destination, by second
+	Limits  map[int][]Limit `json:"limits"` // of each destination, in calls a second
+	Held    *Series         `json:"held"`   // messages by all relays that told, by second
 	worth   float64
 	got     float64
 	hist    *hdrhistogram.Histogram
@@ -36,8 +40,12 @@
 // Latency is the time from a message's handing-in to its delivery, in milliseconds.
 type Latency struct {
 	P50, P90, P99, P999, Max float64
+	Curve                    []Quantile `json:"curve"`
 }
 
+// Quantile is the time within which a share of the messages was delivered.
+type Quantile struct{ Part, Ms float64 }
+
 // Second is what became of the messages of one second.
 type Second struct {
 	Asked   int     `json:"asked"`
@@ -46,14 +54,71 @@
 	Refused int     `json:"refused"`
 	Other   int     `json:"other"`
 	Worth   float64 `json:"worth"`
+	P50     float64 `json:"p50_ms"` // of the time to delivery
+	P99     float64 `json:"p99_ms"`
+	took    []int32 // milliseconds, until the second is settled
+}
+
+// Limit is what a destination takes from a time on.
+type Limit struct {
+	From float64 `json:"from_s"`
+	Rate float64 `json:"rate"`
+}
+
+// Series is a figure by time. It keeps its length in bounds: where it grows too long, two points become one.
+type Series struct {
+	Every float64   `json:"every_s"` // seconds that a point stands for
+	V     []float64 `json:"v"`
+	n     []int
+	sums  bool // a point is the sum of what falls into it, per second; else the mean
+}
+
+const pointsMost = 1200
+
+func newSeries(sums bool) *Series { return &Series{Every: 1, sums: sums} }
+
+// add takes in a value at a time in microseconds.
+func (s *Series) add(at int64, v float64) {
+	i := int(float64(at) / 1e6 / s.Every)
+	for i >= pointsMost {
+		half := (len(s.V) + 1) / 2
+		for k := range half {
+			v, n := s.V[2*k], s.n[2*k]
+			if 2*k+1 < len(s.V) {
+				v, n = v+s.V[2*k+1], n+s.n[2*k+1]
+			}
+			s.V[k], s.n[k] = v, n
+		}
+		s.V, s.n, s.Every = s.V[:half], s.n[:half], 2*s.Every
+		i = int(float64(at) / 1e6 / s.Every)
+	}
+	for len(s.V) <= i {
+		s.V, s.n = append(s.V, 0), append(s.n, 0)
+	}
+	s.V[i] += v
+	s.n[i]++
 }
 
-// Use is the most that a process used.
+// close turns sums into what the points tell.
+func (s *Series) close() {
+	for i := range s.V {
+		if s.sums {
+			s.V[i] /= s.Every
+		} else if s.n[i] > 0 {
+			s.V[i] /= float64(s.n[i])
+		}
+	}
+}
+
+// Use is what the processes of a relay used: processor time of all, and the most of the rest.
 type Use struct {
-	CPU         float64 `json:"cpu_s"`
-	MemoryMB    float64 `json:"memory_mb"`
-	Descriptors float64 `json:"descriptors"`
-	DiskMB      float64 `json:"disk_mb"`
+	CPU         float64            `json:"cpu_s"`
+	MemoryMB    float64            `json:"memory_mb"`
+	Descriptors float64            `json:"descriptors"`
+	DiskMB      float64            `json:"disk_mb"`
+	Over        map[string]*Series `json:"over_time"` // processor time in percent, memory, descriptors
+	cpu         map[int]float64    // by process number
+	last        int64
 }
 
 func (r *Report) use(e history.Event) {
@@ -62,13 +127,50 @@
 	}
 	u := r.Use[e.Proc]
 	if u == nil {
-		u = &Use{}
+		u = &Use{cpu: map[int]float64{}, Over: map[string]*Series{"cpu_percent": newSeries(false), "memory_mb": newSeries(false), "descriptors": newSeries(false)}}
 		r.Use[e.Proc] = u
 	}
-	u.CPU = max(u.CPU, e.Figures["cpu_s"])
+	if was, cpu := u.cpu[e.PID], e.Figures["cpu_s"]; cpu >= was {
+		u.CPU += cpu - was
+		if u.last > 0 && e.T > u.last {
+			u.Over["cpu_percent"].add(e.T, 100*(cpu-was)/(float64(e.T-u.last)/1e6))
+		}
+		u.cpu[e.PID] = cpu
+	}
+	u.last = e.T
 	u.MemoryMB = max(u.MemoryMB, e.Figures["memory_mb"])
 	u.Descriptors = max(u.Descriptors, e.Figures["descriptors"])
 	u.DiskMB = max(u.DiskMB, e.Figures["disk_mb"])
+	u.Over["memory_mb"].add(e.T, e.Figures["memory_mb"])
+	u.Over["descriptors"].add(e.T, e.Figures["descriptors"])
+}
+
+// arrived counts a call at its destination.
+func (r *Report) arrived(e history.Event) {
+	if r.Calls == nil {
+		r.Calls = map[int]*Series{}
+	}
+	if r.Calls[e.Dest] == nil {
+		r.Calls[e.Dest] = newSeries(true)
+	}
+	r.Calls[e.Dest].add(e.T, 1)
+}
+
+// limit notes what a destination takes from now on.
+func (r *Report) limit(dest int, at int64, rate float64) {
+	if r.Limits == nil {
+		r.Limits = map[int][]Limit{}
+	}
+	r.Limits[dest] = append(r.Limits[dest], Limit{float64(at) / 1e6, rate})
+}
+
+// close settles a second.
+func (s *Second) close() {
+	if n := len(s.took); n > 0 {
+		slices.Sort(s.took)
+		s.P50, s.P99 = float64(s.took[n/2]), float64(s.took[min(n-1, n*99/100)])
+		s.took = nil
+	}
 }
 
 // settle counts what became of a message that a client wanted delivered.
@@ -83,6 +185,9 @@
 		r.Seconds = append(r.Seconds, Second{})
 	}
 	s := &r.Seconds[w.at/1e6]
+	if old := int(w.at/1e6) - 2; old >= 0 { // all of it is settled: messages are in the order of their times
+		r.Seconds[old].close()
+	}
 	r.Asked++
 	s.Asked++
 	r.worth += w.class.Worth
@@ -96,6 +201,7 @@
 			r.hist = hdrhistogram.New(1, int64(time.Hour/time.Microsecond), 3)
 		}
 		r.hist.RecordValue(took.Microseconds())
+		s.took = append(s.took, int32(took.Milliseconds()))
 		if took <= w.class.Aim {
 			r.InTime++
 			s.InTime++
@@ -129,12 +235,29 @@
 		c.settle(first)
 	}
 	r := &c.report
+	for i := range r.Seconds {
+		r.Seconds[i].close()
+	}
+	if r.Held != nil {
+		r.Held.close()
+	}
+	for _, k := range r.Calls {
+		k.close()
+	}
+	for _, u := range r.Use {
+		for _, k := range u.Over {
+			k.close()
+		}
+	}
 	if r.worth > 0 {
 		r.Served = r.got / r.worth
 	}
 	if h := r.hist; h != nil {
 		at := func(q float64) float64 { return float64(h.ValueAtQuantile(q)) / 1000 }
-		r.Latency = Latency{at(50), at(90), at(99), at(99.9), float64(h.Max()) / 1000}
+		r.Latency = Latency{P50: at(50), P90: at(90), P99: at(99), P999: at(99.9), Max: float64(h.Max()) / 1000}
+		for _, q := range []float64{0, 10, 25, 50, 75, 90, 95, 98, 99, 99.5, 99.8, 99.9, 99.95, 99.98, 99.99} {
+			r.Latency.Curve = append(r.Latency.Curve, Quantile{q / 100, at(q)})
+		}
 	}
 	return r
 }
--- a/internal/lab/rules/rules.go
+++ b/internal/lab/rules/rules.go
@@ -191,7 +191,8 @@
 	changes []change
 	due     dues
 	report  Report
-	lossy   bool // what relays write may be seen by nobody
+	longest int64 // deadline of a class
+	lossy   bool  // what relays write may be seen by nobody
 }
 
 // New returns a checker that has seen nothing.
@@ -254,8 +255,12 @@
 	switch e.Kind {
 	case history.Run:
 		c.terms = e.Terms
+		for dest, rate := range e.Terms.Rates {
+			c.report.limit(dest, e.T, rate)
+		}
 		for i := range e.Terms.Classes {
 			c.classes[e.Terms.Classes[i].Name] = &e.Terms.Classes[i]
+			c.longest = max(c.longest, e.Terms.Classes[i].Deadline.Microseconds())
 		}
 	case history.Hand:
 		c.hand(e)
@@ -293,7 +298,13 @@
 		c.process(e)
 	case history.Fault:
 		c.lossy = c.lossy || e.State == history.Lossy
+	case history.Limit:
+		c.report.limit(e.Dest, e.T, e.Figures["rate"])
 	case history.Metrics:
+		if c.report.Held == nil {
+			c.report.Held = newSeries(true)
+		}
+		c.report.Held.add(e.T, e.Figures["svc.in_flight"])
 		c.figures(e)
 	case history.Sample:
 		c.sample(e)
@@ -313,7 +324,7 @@
 	if m.want == nil {
 		m.want = &want{at: e.T, class: m.class, tenant: e.Tenant}
 		c.wants[e.First] = m.want
-		c.later(e.T+m.class.Deadline.Microseconds()+keepFor, func() { c.settle(e.First) })
+		c.later(e.T+c.longest+keepFor, func() { c.settle(e.First) })
 	}
 	m.want.ids++
 	c.msgs[e.ID] = m
@@ -363,6 +374,7 @@
 	a := &call{Event: e, zone: c.terms.Zones[e.Endpoint]}
 	c.calls[e.Call] = a
 	p := c.proc(e.Relay)
+	c.report.arrived(e)
 	c.looked(Wait)
 	for _, w := range p.waits[e.Dest] {
 		if e.Whole > w.from+waitGrace && e.Whole < w.until-slack {
@@ -659,7 +671,7 @@
 		}
 	case "crash":
 		p.down = e.T
-		c.broken(Process, e.T, "", e.Text, []string{e.Proc}, e)
+		c.broken(Process, e.T, "", cmp.Or(e.Text, "it ended unasked"), []string{e.Proc}, e)
 	}
 }
 
