lab: plots show which faults overlap, and names that are not cut off

Looked at as a viewer without the plot library's fonts draws them: names of lines ran over their samples and out of the picture, faults that overlapped were one shade, and the axis of percentiles ended at 99. Names stand to the right of their lines with room above the curves, shades add up, and the ticks go on to 99.99.

--- a/internal/lab/report/plots.go
+++ b/internal/lab/report/plots.go
@@ -26,7 +26,7 @@
 	{230, 159, 0, 255}, {110, 110, 110, 255}, {150, 80, 30, 255}}
 
 var (
-	shade = color.RGBA{240, 228, 200, 255}
+	shade = color.NRGBA{230, 170, 60, 45} // one over the other is darker
 	grid  = color.RGBA{225, 225, 225, 255}
 )
 
@@ -48,7 +48,8 @@
 	p.Title.Text = title
 	p.Title.Padding = 4
 	p.X.Label.Text, p.Y.Label.Text = "seconds", unit
-	p.Legend.Top, p.Legend.Left = true, false
+	p.Legend.Top, p.Legend.Left = true, true // names to the right of their lines: a viewer's font may be wider
+	p.Legend.XOffs, p.Legend.Padding = vg.Points(10), vg.Points(1)
 	p.Legend.TextStyle.Font.Size = vg.Points(9)
 	g := plotter.NewGrid()
 	g.Horizontal.Color, g.Vertical.Color = grid, grid
@@ -104,17 +105,17 @@
 	return xy
 }
 
-// svg draws a plot.
-func svg(p *plot.Plot) (string, error) {
+// svg draws a plot, with room above for the names of so many lines.
+func svg(p *plot.Plot, names int) (string, error) {
 	if p.Y.Min > 0 {
 		p.Y.Min = 0
 	}
 	if p.Y.Max <= p.Y.Min {
 		p.Y.Max = p.Y.Min + 1
 	}
-	p.Y.Max += (p.Y.Max - p.Y.Min) * 0.18 // for the legend
+	p.Y.Max += (p.Y.Max - p.Y.Min) * (0.05 + 0.09*float64(names))
 	c := vgsvg.New(width, height)
-	p.Draw(draw.New(c))
+	p.Draw(draw.Crop(draw.New(c), vg.Points(4), -vg.Points(14), 0, -vg.Points(2)))
 	var b bytes.Buffer
 	if _, err := c.WriteTo(&b); err != nil {
 		return "", err
@@ -132,12 +133,15 @@
 // figures draws all plots of a run.
 func figures(r *lab.Result) ([]figure, error) {
 	var all []figure
-	for _, make := range []func(*lab.Result) (*plot.Plot, string, error){served, latency, curve, held} {
-		p, note, err := make(r)
+	for _, k := range []struct {
+		draw  func(*lab.Result) (*plot.Plot, string, error)
+		names int
+	}{{served, 5}, {latency, 2}, {curve, 0}, {held, 0}} {
+		p, note, err := k.draw(r)
 		if err != nil {
 			return nil, err
 		}
-		text, err := svg(p)
+		text, err := svg(p, k.names)
 		if err != nil {
 			return nil, err
 		}
@@ -148,7 +152,7 @@
 		if err != nil {
 			return nil, err
 		}
-		text, err := svg(p)
+		text, err := svg(p, 2)
 		if err != nil {
 			return nil, err
 		}
@@ -160,7 +164,7 @@
 		if err != nil {
 			return nil, err
 		}
-		text, err := svg(p)
+		text, err := svg(p, min(linesMost, len(r.Report.Use)))
 		if err != nil {
 			return nil, err
 		}
@@ -222,10 +226,10 @@
 	var ticks []plot.Tick
 	var xy plotter.XYs
 	for _, q := range r.Report.Latency.Curve {
-		x := -math.Log10(1 - min(q.Part, 0.9999))
+		x := -math.Log10(1 - q.Percent/100)
 		xy = append(xy, plotter.XY{X: x, Y: q.Ms})
-		if q.Part == 0 || q.Part == 0.5 || q.Part == 0.9 || q.Part == 0.99 || q.Part == 0.999 || q.Part == 0.9999 {
-			ticks = append(ticks, plot.Tick{Value: x, Label: fmt.Sprintf("%g", 100*q.Part)})
+		if slices.Contains([]float64{0, 50, 90, 99, 99.9, 99.99}, q.Percent) {
+			ticks = append(ticks, plot.Tick{Value: x, Label: fmt.Sprintf("%g", q.Percent)})
 		}
 	}
 	p.X.Tick.Marker = plot.ConstantTicks(ticks)
--- a/internal/lab/rules/report.go
+++ b/internal/lab/rules/report.go
@@ -43,8 +43,8 @@
 	Curve                    []Quantile `json:"curve"`
 }
 
-// Quantile is the time within which a share of the messages was delivered.
-type Quantile struct{ Part, Ms float64 }
+// Quantile is the time within which so many of a hundred messages were delivered.
+type Quantile struct{ Percent, Ms float64 }
 
 // Second is what became of the messages of one second.
 type Second struct {
@@ -256,7 +256,7 @@
 		at := func(q float64) float64 { return float64(h.ValueAtQuantile(q)) / 1000 }
 		r.Latency = Latency{P50: at(50), P90: at(90), P99: at(99), P999: at(99.9), Max: float64(h.Max()) / 1000}
 		for _, q := range []float64{0, 10, 25, 50, 75, 90, 95, 98, 99, 99.5, 99.8, 99.9, 99.95, 99.98, 99.99} {
-			r.Latency.Curve = append(r.Latency.Curve, Quantile{q / 100, at(q)})
+			r.Latency.Curve = append(r.Latency.Curve, Quantile{q, at(q)})
 		}
 	}
 	return r
