relay: a call that has not gone out as one of its messages ends does not go

Cause: internal/relay/calls.go, start. Messages of one call share its connection until the longest of their time-outs. One whose own time is up before gets its end then, also when the call still waits for its connection; nothing kept the call from going out with it afterwards.

The change: such a call has to be written whole before the first of its messages ends, by the same bound that keeps repeats in their window; else it does not go, and its other messages come again.

The new test fails without the change.

--- a/internal/relay/calls.go
+++ b/internal/relay/calls.go
@@ -144,9 +144,13 @@
 			c.body = appendFrame(c.body, m)
 		}
 		// The members share one connection until the longest of their time-outs. One whose own time
-		// is up before that gets its end then; before it, a restart would be a second copy.
+		// is up before that gets its end then; before it, a restart would be a second copy. A call that has not
+		// gone out whole by that time must not go: it would bear a message that has ended.
 		for _, m := range c.members {
 			if left := m.due - now; left < c.timeout {
+				if due := r.began.Add(m.due); c.before.IsZero() || due.Before(c.before) {
+					c.before = due
+				}
 				time.AfterFunc(left, func() {
 					r.post(func() { r.ended(c, m, end{outcome: choice.Timeout}, told{took: left}) })
 				})
--- a/internal/relay/calls_test.go
+++ b/internal/relay/calls_test.go
@@ -133,6 +133,43 @@
 	want(t, "requests", got.Load(), 0)
 }
 
+// Guards against a call that gets its connection only when one of its messages has ended, for its own time was up:
+// it would be sent after its end.
+func TestNothingIsSentAfterItsEnd(t *testing.T) {
+	var got atomic.Int32
+	s := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { got.Add(1) }))
+	defer s.Close()
+	r := caller()
+	r.began, r.inbox, r.calls = time.Now(), make(chan func(), 10), context.Background()
+	over := make(chan struct{})
+	dial := r.hostSide.Load().DialContext
+	r.hostSide.Load().DialContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		<-over
+		return dial(ctx, network, addr)
+	}
+	c := &call{host: &host{addr: s.Listener.Addr().String(), waiting: &waiting{}}}
+	for id, due := range map[string]time.Duration{"short": 10 * time.Millisecond, "long": time.Hour} {
+		c.members = append(c.members, &message{entry: &entry{ID: id}, due: due})
+		c.sends = append(c.sends, choice.Send{ID: id, Timeout: 20 * time.Second})
+	}
+	r.start(c)
+	ends := map[string]choice.Outcome{}
+	take := func() {
+		wait(t, r.inbox, "end")()
+		for _, e := range r.events {
+			ends[e.(choice.Result).ID] = e.(choice.Result).Outcome
+		}
+		r.events = nil
+	}
+	take()
+	want(t, "end of the one whose time is up", ends["short"], choice.Timeout)
+	want(t, "ends", len(ends), 1)
+	close(over)
+	take()
+	want(t, "end of the other", ends["long"], choice.NotSent)
+	want(t, "calls that went out", got.Load(), 0)
+}
+
 // deadlines remembers the last one set for writing.
 type deadlines struct {
 	net.Conn
