--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -89,6 +89,9 @@
 // machine is too busy for what is asked of it.
 const tooLate = 50 * time.Millisecond
 
+// tooFarBehind is the lag of the load above which it was not the load that was asked for.
+const tooFarBehind = 500 * time.Millisecond
+
 // world is a run.
 type world struct {
 	scenario  *scenario.Scenario
@@ -336,6 +339,9 @@
 	if syscall.Getrusage(syscall.RUSAGE_SELF, &use) == nil {
 		r.LabCPU = float64(use.Utime.Nano()+use.Stime.Nano()) / 1e9
 	}
+	if behind := w.clients.Behind(); behind > tooFarBehind {
+		r.Void = fmt.Sprintf("the machine is too busy for this load: messages were handed in up to %.1f s late", behind.Seconds())
+	}
 	if late.P99 > float64(tooLate.Milliseconds()) {
 		r.Void = fmt.Sprintf("the machine is too busy for this load: one in a hundred of the lab's own timers came %.0f ms late or more, of %d at most", late.P99, tooLate.Milliseconds())
 	}
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -12,6 +13,7 @@
 	"time"
 
 	"larchrouter/internal/lab/history"
+	"larchrouter/internal/lab/platform"
 	"larchrouter/internal/lab/rules"
 	"larchrouter/internal/lab/scenario"
 	"larchrouter/internal/lab/standin"
@@ -269,3 +271,46 @@
 		t.Errorf("%v outlast the run", left)
 	}
 }
+
+// Guards against relays that are blamed for a machine on which the lab itself comes too late.
+func TestTooBusyIsVoid(t *testing.T) {
+	for _, c := range []struct {
+		late Lateness
+		void bool
+	}{{Lateness{1, 49, 300}, false}, {Lateness{1, 51, 300}, true}} {
+		s := scenario.Default()
+		w := &world{scenario: s, checker: rules.New(), clients: platform.NewClients(platform.Env{Scenario: s}, platform.NewFront())}
+		if r := w.result(c.late); (r.Void != "") != c.void {
+			t.Errorf("%+v: void is %q", c.late, r.Void)
+		}
+	}
+}
+
+// Guards against a relay that takes a port which another program has, and two runs that share addresses.
+func TestAddresses(t *testing.T) {
+	a, err := takeBlock()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer a.lock.Close()
+	b, err := takeBlock()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer b.lock.Close()
+	if a.prefix == b.prefix || a.relayIP(0) == a.relayIP(250) || a.relayIP(0) == a.clientIP(0) {
+		t.Errorf("%s and %s, %s, %s, %s", a.prefix, b.prefix, a.relayIP(0), a.relayIP(250), a.clientIP(0))
+	}
+	first, err := freeAddr(a.relayIP(0), clientPort)
+	if err != nil {
+		t.Fatal(err)
+	}
+	l, err := net.Listen("tcp4", first)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	if second, err := freeAddr(a.relayIP(0), clientPort); err != nil || second == first {
+		t.Errorf("%s, %v while somebody listens at %s", second, err, first)
+	}
+}
--- a/internal/lab/platform/clients.go
+++ b/internal/lab/platform/clients.go
@@ -72,6 +72,7 @@
 	wait sync.WaitGroup
 	n    atomic.Int64
 	stop atomic.Bool
+	lag  atomic.Int64 // the most by which a message was handed in late, nanoseconds
 }
 
 // message is one that a client wants delivered, under whatever ids.
@@ -132,6 +133,7 @@
 		if ctx.Err() != nil {
 			break
 		}
+		c.lag.Store(max(c.lag.Load(), int64(time.Since(next))))
 		m := c.draw(r)
 		m.early = early.Float64() < s.Load.Early
 		c.wait.Add(1)
@@ -144,6 +146,9 @@
 	c.wait.Wait()
 }
 
+// Behind is the most by which the load was late: then it was not the load that was asked for.
+func (c *Clients) Behind() time.Duration { return time.Duration(c.lag.Load()) }
+
 // draw makes a message.
 func (c *Clients) draw(r *rand.Rand) *message {
 	pick := func(n int, share func(int) float64) int {
--- a/internal/lab/rules/rules_test.go
+++ b/internal/lab/rules/rules_test.go
@@ -117,6 +117,7 @@
 			sentAs(400, 3, "m", "endpoint/0"), answer(410, 3, 503), sentAs(500, 4, "m", "endpoint/0"), answer(510, 4, 200))},
 		"sent as a wait is told":        {"", append(taken("keyed", sentAs(200, 1, "m", "endpoint/0"), told(300, 1, 1000)), hand(310, "n", "keyed"), sentAs(440, 2, "n", "endpoint/0"), answer(450, 2, 200), notice(1500, "m", "deferred"))},
 		"sent in a wait":                {Wait, append(taken("keyed", sentAs(200, 1, "m", "endpoint/0"), told(300, 1, 1000)), hand(310, "n", "keyed"), sentAs(460, 2, "n", "endpoint/1"), answer(470, 2, 200), notice(1500, "m", "deferred"))},
+		"a wait that nobody read":       {"", taken("keyed", sentAs(200, 1, "m", "endpoint/0"), told(300, 1, 1000), gone(320, 1), sentAs(600, 2, "m", "endpoint/1"), answer(700, 2, 200))},
 		"sent as a wait ends":           {"", taken("keyed", sentAs(200, 1, "m", "endpoint/0"), told(300, 1, 1000), sentAs(1260, 2, "m", "endpoint/0"), answer(1300, 2, 200))},
 		"a restart ends the wait":       {"", taken("keyed", sentAs(200, 1, "m", "endpoint/0"), told(300, 1, 1000), proc(400, "kill"), proc(450, "start"), proc(460, "ready"), sentAs(600, 2, "m", "endpoint/0"), answer(700, 2, 200))},
 		"an upgrade does not":           {Wait, taken("keyed", sentAs(200, 1, "m", "endpoint/0"), told(300, 1, 1000), history.Event{T: 450, Kind: history.Proc, Proc: "relay/0", How: "start", Text: "beside"}, proc(460, "ready"), sentAs(600, 2, "m", "endpoint/0"), answer(700, 2, 200))},
