--- a/internal/lab/history/history.go
+++ b/internal/lab/history/history.go
@@ -26,9 +26,6 @@
 // At is the time of an instant in microseconds.
 func (c *Clock) At(t time.Time) int64 { return t.Sub(c.began).Microseconds() }
 
-// Time is the instant of a stamp.
-func (c *Clock) Time(us int64) time.Time { return c.began.Add(time.Duration(us) * time.Microsecond) }
-
 // Kind says what an event tells.
 type Kind string
 
--- a/internal/lab/platform/partner.go
+++ b/internal/lab/platform/partner.go
@@ -134,9 +134,6 @@
 // ID is the name of an endpoint on the list.
 func ID(name string) string { return "s-" + name[len("endpoint/"):] }
 
-// Name is the name of an endpoint of the list in scenario and history.
-func Name(id string) string { return "endpoint/" + id[len("s-"):] }
-
 func (e *endpoint) serve(relay string, c *link.Conn) {
 	d := e.of
 	time.Sleep(time.Duration(d.all.Draw.Handshake * float64(time.Second)))
@@ -534,6 +531,3 @@
 	defer e.of.mu.Unlock()
 	e.refuses = true
 }
-
-// Dest is the destination of an endpoint.
-func (p *Partners) Dest(name string) int { return p.eps[name].of.Number }
--- a/internal/lab/rules/report.go
+++ b/internal/lab/rules/report.go
@@ -262,9 +262,6 @@
 	return r
 }
 
-// Open is how many messages are not judged yet.
-func (c *Checker) Open() int { return len(c.wants) }
-
 // Standing is how many messages were asked for and served in time so far, and how many rules are broken.
 func (c *Checker) Standing() (asked, inTime, broken int) {
 	asked, inTime = c.report.Asked, c.report.InTime
