--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -182,12 +182,11 @@
 	defer stop()
 	late := watchLateness(ctx)
 	defer func() {
+		var ends sync.WaitGroup
 		for _, r := range w.relays {
-			go r.end()
-		}
-		for _, r := range w.relays {
-			r.end()
+			ends.Go(r.end)
 		}
+		ends.Wait()
 		w.clients.Close()
 		w.net.Close()
 		w.record(history.Event{Kind: history.End})
@@ -264,12 +263,8 @@
 func (w *world) play(ctx context.Context, checks *sync.Mutex) {
 	began := time.Now()
 	var parts sync.WaitGroup
-	go1 := func(f func()) {
-		parts.Add(1)
-		go func() { defer parts.Done(); f() }()
-	}
 	after := func(at scenario.Duration, f func()) {
-		go1(func() {
+		parts.Go(func() {
 			select {
 			case <-ctx.Done():
 			case <-time.After(time.Until(began.Add(time.Duration(at)))):
@@ -285,7 +280,7 @@
 	}
 	loaded, unload := context.WithTimeout(ctx, time.Duration(w.scenario.Duration))
 	defer unload()
-	go1(func() { w.clients.Play(loaded) })
+	parts.Go(func() { w.clients.Play(loaded) })
 	go w.watch(ctx, began, checks)
 	parts.Wait()
 	most := time.Duration(w.scenario.Load.Deadline) + 8*time.Second
--- a/internal/lab/relay.go
+++ b/internal/lab/relay.go
@@ -261,7 +261,7 @@
 	r.w.record(history.Event{Kind: history.Proc, Proc: r.name, PID: r.now.PID, How: "kill"})
 	r.now.Kill()
 	r.now = nil
-	go r.notice(r.w.noticed(), r.n)
+	r.notice(r.w.noticed(), r.n)
 	return r.again(ctx, max(out, restartIn))
 }
 
