lab/link: a connection is whole before its link knows of it

Seen once in go test -race ./..., and again in a few plays of TestCut by itself: the end of a run resets a connection while the goroutine that accepted it still sets its socket. With an unlucky order the socket would have stayed open.

The sockets and the direction are now set as the connection is made, before the link can reset it. Afterwards 40 runs of the package, eight at once, and 48 of TestCut, under the race detector: none.

--- a/internal/lab/link/link.go
+++ b/internal/lab/link/link.go
@@ -218,19 +218,17 @@
 
 // join carries a connection that came in at the front.
 func (l *Link) join(sock *net.TCPConn) {
-	c := l.newConn()
-	c.sock = sock
 	if l.serve == nil {
 		var d net.Dialer
 		back, err := d.Dial("tcp4", l.to)
 		if err != nil {
 			abort(sock)
-			c.Abort()
 			return
 		}
-		c.both(back.(*net.TCPConn))
+		l.carry(sock, back.(*net.TCPConn))
 		return
 	}
+	c := l.newConn(sock, nil, false)
 	go c.carryIn(sock, c.in, c.leave)
 	go c.carryOut(c.out, sock)
 	l.serve(c)
@@ -238,18 +236,11 @@
 
 // carry carries what two processes send each other.
 func (l *Link) carry(front, back *net.TCPConn) {
-	c := l.newConn()
-	c.sock = front
-	c.both(back)
-}
-
-// both has a second process at the other end.
-func (c *Conn) both(far *net.TCPConn) {
-	c.far = far
-	go c.carryIn(c.sock, c.in, c.leave)
-	go c.carryOut(c.out, c.sock)
-	go c.carryIn(far, c.out, nil)
-	go c.carryOut(c.in, far)
+	c := l.newConn(front, back, false)
+	go c.carryIn(front, c.in, c.leave)
+	go c.carryOut(c.out, front)
+	go c.carryIn(back, c.out, nil)
+	go c.carryOut(c.in, back)
 }
 
 // Dial opens a connection from a party of the lab, at an address of its own, to a process.
@@ -273,10 +264,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := l.newConn()
-	c.sock, c.dialled = sock.(*net.TCPConn), true
-	// The process is at the far end here: what it sends is the way back.
-	c.in, c.out = c.out, c.in
+	c := l.newConn(sock.(*net.TCPConn), nil, true)
 	go c.carryIn(c.sock, c.in, c.leave)
 	go c.carryOut(c.out, c.sock)
 	return c, nil
@@ -388,9 +376,13 @@
 	l.Reset()
 }
 
-func (l *Link) newConn() *Conn {
-	c := &Conn{link: l, gone: make(chan struct{})}
+// newConn makes a connection of a link, whole before the link knows of it: it may be reset from then on.
+func (l *Link) newConn(sock, far *net.TCPConn, dialled bool) *Conn {
+	c := &Conn{link: l, sock: sock, far: far, dialled: dialled, gone: make(chan struct{})}
 	c.in, c.out = newQueue(&l.there), newQueue(&l.back)
+	if dialled { // the process is at the far end: what it sends is the way back
+		c.in, c.out = c.out, c.in
+	}
 	c.in.onReset, c.out.onReset = c.Abort, c.Abort
 	l.mu.Lock()
 	defer l.mu.Unlock()
