relay: source in the configuration is the address that connections go out from

Without one the system takes 127.0.0.1 for all of loopback.

Change: an optional IP address `source`, read at the start; a wrong one is refused with a clear error. The port is chosen as the connection is made (IP_BIND_ADDRESS_NO_PORT), so that many connections to different peers can share one. Without the key nothing is different.

--- a/internal/relay/calls.go
+++ b/internal/relay/calls.go
@@ -15,6 +15,7 @@
 	"strconv"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"larchrouter/choice"
@@ -103,9 +104,33 @@
 
 func (b *onceBody) Close() error { return nil }
 
+// dialer opens connections, from an address of this machine if one is given: partners that know relays by their
+// address can tell them apart on a machine that has several.
+func dialer(source net.IP, timeout time.Duration) *net.Dialer {
+	d := &net.Dialer{Timeout: timeout}
+	if source == nil {
+		return d
+	}
+	d.LocalAddr = &net.TCPAddr{IP: source}
+	d.Control = func(_, _ string, raw syscall.RawConn) error {
+		// The port is chosen as the connection is made, not before: else no two could share one, whoever they go to.
+		var err error
+		if cerr := raw.Control(func(fd uintptr) {
+			err = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_IP, ipBindAddressNoPort, 1)
+		}); cerr != nil {
+			return cerr
+		}
+		return err
+	}
+	return d
+}
+
+// ipBindAddressNoPort is Linux's IP_BIND_ADDRESS_NO_PORT (ip(7)), which package syscall does not have.
+const ipBindAddressNoPort = 24
+
 // newTransport returns the client side towards hosts. It keeps so many idle connections at most.
-func newTransport(set *settings.Settings, conns int) *http.Transport {
-	d := &net.Dialer{Timeout: set.DialTimeout}
+func newTransport(set *settings.Settings, conns int, source net.IP) *http.Transport {
+	d := dialer(source, set.DialTimeout)
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 			c, err := d.DialContext(ctx, network, addr)
--- a/internal/relay/calls_test.go
+++ b/internal/relay/calls_test.go
@@ -22,7 +22,7 @@
 	r := &Relay{began: time.Now()}
 	set := settings.Settings{DialTimeout: time.Second, IdleConn: time.Minute}
 	set.Workers = 7
-	r.hostSide.Store(newTransport(&set, 64))
+	r.hostSide.Store(newTransport(&set, 64, nil))
 	r.set.Store(&standing{})
 	return r
 }
@@ -381,3 +381,29 @@
 		}
 	})
 }
+
+// Guards against a relay that its partners cannot know by its address on a machine that has several.
+func TestConnectionsGoOutFromTheSource(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	const source = "127.0.7.7"
+	for range 2 { // a source serves more than one connection
+		d := dialer(net.ParseIP(source), time.Second)
+		c, err := d.DialContext(t.Context(), "tcp4", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		from, err := l.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer from.Close()
+		if ip := from.RemoteAddr().(*net.TCPAddr).IP.String(); ip != source {
+			t.Errorf("the connection comes from %s, want %s", ip, source)
+		}
+	}
+}
--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -15,6 +15,7 @@
 	Listen    string
 	Admin     string // second address; empty for none
 	Discovery string
+	Source    net.IP // that all its connections go out from; nil for whichever the machine takes
 	State     string // folder that lasts
 	Seed      uint64
 	Cores     float64
@@ -32,6 +33,7 @@
 	Listen    string `json:"listen"`
 	Admin     string `json:"admin_addr"`
 	Discovery string `json:"discovery"`
+	Source    string `json:"source"`
 	Seed      string `json:"seed"`
 	Limits    struct {
 		Cores    float64 `json:"cores"`
@@ -81,6 +83,11 @@
 		return c, fmt.Errorf("%s: limits: sockets is %d and disk_mb %g, must be at least 16 and above 0",
 			path, c.Sockets, c.DiskMB)
 	}
+	if f.Source != "" {
+		if c.Source = net.ParseIP(f.Source); c.Source == nil {
+			return c, fmt.Errorf("%s: source: %q is no IP address", path, f.Source)
+		}
+	}
 	if f.Seed != "" {
 		if c.Seed, err = strconv.ParseUint(f.Seed, 16, 64); err != nil {
 			return c, fmt.Errorf("%s: seed: %w", path, err)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -106,8 +106,8 @@
 	r = &Relay{conf: conf, zones: set.Zones, discovery: newPlatformAt(conf.Discovery), began: time.Now(),
 		held: map[string]*message{}, hosts: map[string]*host{}, dests: map[int]*waiting{}, inbox: make(chan func(), 1024), notices: make(chan notice, 2*maxOwed),
 		quit: make(chan struct{}), wake: time.NewTimer(time.Hour)}
-	r.hostSide.Store(newTransport(&set, conf.Sockets/4))
-	r.platform = &http.Client{Transport: &http.Transport{DisableCompression: true, IdleConnTimeout: idleIn}}
+	r.hostSide.Store(newTransport(&set, conf.Sockets/4, conf.Source))
+	r.platform = &http.Client{Transport: &http.Transport{DisableCompression: true, IdleConnTimeout: idleIn, DialContext: dialer(conf.Source, 0).DialContext}}
 	r.calls, r.endCalls = context.WithCancelCause(context.Background())
 	r.set.Store((&standing{}).succeed(set, 0))
 	for _, k := range set.Classes {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -509,7 +509,7 @@
 		t.Fatal(err)
 	}
 	for _, c := range [][2]string{{`"listen"`, `"nothing"`}, {`"workers":7`, `"workers":0`}, {`"sockets":1024`, `"sockets":0`},
-		{"{", "["}, {`"seed":"8`, `"seed":"x`}, {"deduplicated", "odd"}} {
+		{"{", "["}, {`"seed":"8`, `"seed":"x`}, {`"seed"`, `"source":"here","seed"`}, {"deduplicated", "odd"}} {
 		conf, err := readTestConfig(t, []byte(strings.Replace(good, c[0], c[1], 1)), t.TempDir())
 		if err == nil {
 			_, err = New(conf)
--- a/internal/relay/reload.go
+++ b/internal/relay/reload.go
@@ -75,7 +75,7 @@
 	next := was.succeed(set, r.now())
 	r.set.Store(next)
 	if set.DialTimeout != was.DialTimeout || set.IdleConn != was.IdleConn || set.Workers != was.Workers {
-		old := r.hostSide.Swap(newTransport(&set, r.conf.Sockets/4))
+		old := r.hostSide.Swap(newTransport(&set, r.conf.Sockets/4, r.conf.Source))
 		old.CloseIdleConnections() // those in use end when they have been idle for the old time
 	}
 	for _, k := range next.Classes {
