lab/link: one front for all callers, and a network that says when it failed itself

Cause: 300 relays and 40 endpoints need 12,000 fronts and as many connections; with thin limits the lab reached its 20,000 descriptors.

Change: a front goes on accepting, and the network keeps the first failure of its own sockets. A front may serve all relays, each known by the address that it calls from.

--- a/internal/lab/link/link.go
+++ b/internal/lab/link/link.go
@@ -116,6 +116,43 @@
 	Clock *history.Clock
 	mu    sync.Mutex
 	links map[[2]string]*Link
+	// fronts serve more than one link.
+	fronts []*net.TCPListener
+	// trouble is why the network itself did not do as it should, the first time; nil for never.
+	trouble error
+}
+
+// Trouble tells why the network itself failed the parties, if it did: what they then saw is not to be blamed on them.
+func (n *Net) Trouble() error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.trouble
+}
+
+// failed notes a failure of the lab's own sockets. Refusals and resets are none.
+func (n *Net) failed(err error) {
+	for _, own := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL} {
+		if errors.Is(err, own) {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			if n.trouble == nil {
+				n.trouble = err
+			}
+		}
+	}
+}
+
+// accepted takes the next connection of a front. A machine that has no more descriptors is none that stopped
+// listening: it goes on once it can, and the run is known to show nothing.
+func (n *Net) accepted(front *net.TCPListener) (*net.TCPConn, error) {
+	for {
+		sock, err := front.AcceptTCP()
+		if err == nil || errors.Is(err, net.ErrClosed) {
+			return sock, err
+		}
+		n.failed(err)
+		time.Sleep(10 * time.Millisecond)
+	}
 }
 
 // NewNet returns a network without links.
@@ -152,6 +189,11 @@
 
 // Close ends all links.
 func (n *Net) Close() {
+	n.mu.Lock()
+	for _, f := range n.fronts {
+		f.Close()
+	}
+	n.mu.Unlock()
 	for _, l := range n.Links(func(string) bool { return true }, func(string) bool { return true }) {
 		l.close()
 	}
@@ -190,7 +232,7 @@
 
 func (l *Link) accept(front *net.TCPListener) {
 	for {
-		sock, err := front.AcceptTCP()
+		sock, err := l.net.accepted(front)
 		if err != nil {
 			return
 		}
@@ -222,6 +264,7 @@
 		var d net.Dialer
 		back, err := d.Dial("tcp4", l.to)
 		if err != nil {
+			l.net.failed(err)
 			abort(sock)
 			return
 		}
@@ -262,6 +305,7 @@
 	}
 	sock, err := d.DialContext(ctx, "tcp4", addr)
 	if err != nil {
+		n.failed(err)
 		return nil, err
 	}
 	c := l.newConn(sock.(*net.TCPConn), nil, true)
--- a/internal/lab/link/shared.go
+++ b/internal/lab/link/shared.go
@@ -74,7 +74,7 @@
 
 func (s *Shared) accept() {
 	for {
-		sock, err := s.tcp.AcceptTCP()
+		sock, err := s.net.accepted(s.tcp)
 		if err != nil {
 			return
 		}
@@ -97,6 +97,7 @@
 	d := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(from.ip)}, Timeout: 10 * time.Second}
 	back, err := d.Dial("tcp4", s.target)
 	if err != nil {
+		s.net.failed(err)
 		abort(sock)
 		return
 	}
