lab: strangers, clumps, three classes, garbled answers, and endpoints with one address

Need: the lab left out peers that are no clients, answers that cannot be read, messages that come together, and classes other than keyed; and a lab without descriptors blamed the relays.

Change: load.strangers (twenty manners, each owed an error or a close in time: a new rule), load.clump, load.classes, the fault garble, platform.shared; a run whose network failed is void. Stand-ins that are too patient, or take on what is no message, are caught by the new rule, one that repeats what may not be repeated by the old.

--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -10,6 +10,7 @@
 
 	"larchrouter/internal/lab/history"
 	"larchrouter/internal/lab/link"
+	"larchrouter/internal/lab/platform"
 	"larchrouter/internal/lab/scenario"
 )
 
@@ -183,14 +184,22 @@
 			w.partners.Limit(d, f.Part)
 			defer w.partners.Limit(d, 1/f.Part)
 		}
-	case "errors", "slow":
-		for _, p := range parties {
-			fails, slow := f.Part, 1.0
-			if f.Kind == "slow" {
-				fails, slow = 0, f.Part
+	case "errors", "slow", "garble":
+		put := func(fails, slow, garbles float64) func(*platform.Trouble) {
+			return func(t *platform.Trouble) {
+				switch f.Kind {
+				case "errors":
+					t.Fails = fails
+				case "slow":
+					t.Slow = slow
+				case "garble":
+					t.Garbles = garbles
+				}
 			}
-			w.partners.Trouble(p.Name, fails, slow)
-			defer w.partners.Trouble(p.Name, 0, 1)
+		}
+		for _, p := range parties {
+			w.partners.Trouble(p.Name, put(f.Part, f.Part, f.Part))
+			defer w.partners.Trouble(p.Name, put(0, 1, 0))
 		}
 	}
 	w.rest(ctx, f.For)
--- a/internal/lab/history/history.go
+++ b/internal/lab/history/history.go
@@ -40,7 +40,7 @@
 	Call    Kind = "call"    // a call is whole at an endpoint: Call, IDs, Endpoint, Dest, Begun and Whole (front)
 	Bad     Kind = "bad"     // an endpoint was sent what no relay may send: Endpoint, Text
 	Ran     Kind = "ran"     // a call took effect: Call
-	Answer  Kind = "answer"  // a call's answer is written at the front: Call, Status, Wait, Ends
+	Answer  Kind = "answer"  // a call's answer is written at the front: Call, Status, Wait, Ends; How is Unreadable if it is that
 	Gone    Kind = "gone"    // the relay gave a call's connection up, at the front: Call
 	Change  Kind = "change"  // discovery's list changed: Version, Endpoint, State
 	Asked   Kind = "asked"   // a relay asked discovery: Version (0 for the whole list), Left
@@ -57,12 +57,19 @@
 	Up      Kind = "up"      // and ends: Dest; it is cold from now on where Figures has "cold" seconds
 	Limit   Kind = "limit"   // a destination takes another rate: Dest, Figures has "rate"
 	Fell    Kind = "fell"    // a cold destination was pushed over: Dest, Figures is the load by relay in that span
-	End     Kind = "end"     // the last event: Text says how the run ended
+	// Stranger is a peer that sends what is no message, or nothing, and how it fared: Relay, Begun (its connection came
+	// up), How (what it sent), Status (0 for none), State is closed, answered or waits; Left is the time it allows.
+	Stranger Kind = "stranger"
+	End      Kind = "end" // the last event: Text says how the run ended
 )
 
 // Lossy is the State of a fault under which a process may write what nobody gets to see.
 const Lossy = "lossy"
 
+// Unreadable is the How of an answer that is none under the protocol. Its Status is 0, or 200 where the first line of an
+// answer to one message still says so: then it is true.
+const Unreadable = "unreadable"
+
 // Event is one event. T and all stamps are microseconds on the run's clock; Wait and Left are milliseconds.
 type Event struct {
 	T        int64              `json:"t"`
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -106,7 +106,9 @@
 	discovery *platform.Discovery
 	front     *platform.Front
 	clients   *platform.Clients
+	strangers *platform.Strangers
 	relays    []*relay
+	shared    map[string]string // the address of each endpoint, where it has one for all relays
 
 	mu      sync.Mutex
 	checker *rules.Checker
@@ -177,6 +179,10 @@
 	w.discovery = platform.NewDiscovery(env, w.partners)
 	w.clients = platform.NewClients(env, w.front)
 	w.discovery.Noticed = w.clients.Noticed
+	w.strangers = &platform.Strangers{Env: env, Front: w.front, Source: w.block.strangerIP()}
+	if err := w.openShared(); err != nil {
+		return nil, err
+	}
 
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
@@ -259,6 +265,29 @@
 	return g.Wait()
 }
 
+// openShared gives each endpoint the one address at which all relays reach it, if the scenario says so.
+func (w *world) openShared() error {
+	if !w.scenario.Platform.Shared {
+		return nil
+	}
+	relays := map[string]string{}
+	for i := range w.scenario.Fleet.Relays {
+		relays[w.block.relayIP(i)] = fmt.Sprintf("relay/%d", i)
+	}
+	w.shared = map[string]string{}
+	for _, p := range w.scenario.Parties() {
+		if p.Kind() != "endpoint" {
+			continue
+		}
+		addr, err := w.partners.ServeAll(p.Name, w.block.sharedIP()+":0", func(ip string) string { return relays[ip] })
+		if err != nil {
+			return err
+		}
+		w.shared[p.Name] = addr
+	}
+	return nil
+}
+
 // play has load, faults and steps come when they are due, and waits until what was taken on has its end.
 func (w *world) play(ctx context.Context, checks *sync.Mutex) {
 	began := time.Now()
@@ -281,6 +310,7 @@
 	loaded, unload := context.WithTimeout(ctx, time.Duration(w.scenario.Duration))
 	defer unload()
 	parts.Go(func() { w.clients.Play(loaded) })
+	parts.Go(func() { w.strangers.Play(loaded) })
 	go w.watch(ctx, began, checks)
 	parts.Wait()
 	most := time.Duration(w.scenario.Load.Deadline) + 8*time.Second
@@ -351,6 +381,9 @@
 	if late.P99 > float64(tooLate.Milliseconds()) {
 		r.Void = fmt.Sprintf("the machine is too busy for this load: one in a hundred of the lab's own timers came %.0f ms late or more, of %d at most", late.P99, tooLate.Milliseconds())
 	}
+	if err := w.net.Trouble(); err != nil {
+		r.Void = fmt.Sprintf("the lab itself could not go on: %v", err)
+	}
 	for _, rule := range rules.All {
 		if n := r.Report.Broken[rule]; n > 0 {
 			r.Failures = append(r.Failures, Failure{"rule " + string(rule), fmt.Sprintf("broken %d times", n)})
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"larchrouter/internal/lab/history"
+	"larchrouter/internal/lab/link"
 	"larchrouter/internal/lab/platform"
 	"larchrouter/internal/lab/rules"
 	"larchrouter/internal/lab/scenario"
@@ -83,12 +84,17 @@
 	drains := "[[step]]\nat = \"0s\"\ndo = \"drain\"\nto = \"endpoint/0\"\n"
 	fails := "[[fault]]\nat = \"0s\"\nfor = \"3s\"\nkind = \"errors\"\npart = 0.5\nfrom = \"endpoints:dest=0\"\n"
 	shut := "[[fault]]\nat = \"500ms\"\nfor = \"2s\"\nkind = \"shut\"\nfrom = \"endpoints:dest=0\"\n"
+	const once, strangers = "classes = [\"once\"]", "strangers = 30.0"
 	for _, c := range []struct {
 		flaw standin.Flaw
 		more string
 		rule rules.Rule
 	}{
 		{standin.None, drains + fails + shut, ""},
+		{standin.None, strangers, ""},
+		{standin.Patient, strangers, rules.Strange},
+		{standin.Welcomes, strangers, rules.Strange},
+		{standin.Late, fails + once, rules.Repeat},
 		{standin.Twice, "", rules.Twice},
 		{standin.Late, fails, rules.Repeat},
 		{standin.Waits, shut, rules.Wait},
@@ -110,6 +116,11 @@
 			if more, ok := strings.CutPrefix(c.more, "duration = \"9s\"\n"); ok {
 				text = strings.Replace(base, "3s", "9s", 1) + more
 			}
+			if c.more == strangers {
+				text = base + c.more // of load, the last table
+			} else if more, ok := strings.CutSuffix(c.more, once); ok {
+				text = base + once + "\n" + more
+			}
 			r := play(t, parse(t, text), Options{Root: t.TempDir(), Command: "exec " + self, Env: []string{standin.Env + "=" + string(c.flaw)}})
 			if c.rule != "" && r.Report.Broken[c.rule] == 0 || c.rule == "" && len(r.Failures) > 0 {
 				tell(t, r)
@@ -278,7 +289,7 @@
 		void bool
 	}{{Lateness{1, 49, 300}, false}, {Lateness{1, 51, 300}, true}} {
 		s := scenario.Default()
-		w := &world{scenario: s, checker: rules.New(), clients: platform.NewClients(platform.Env{Scenario: s}, platform.NewFront())}
+		w := &world{scenario: s, checker: rules.New(), net: link.NewNet(history.NewClock()), clients: platform.NewClients(platform.Env{Scenario: s}, platform.NewFront())}
 		if r := w.result(c.late); (r.Void != "") != c.void {
 			t.Errorf("%+v: void is %q", c.late, r.Void)
 		}
--- a/internal/lab/platform/clients.go
+++ b/internal/lab/platform/clients.go
@@ -123,7 +123,7 @@
 				rate *= s.Load.Burst
 			}
 		}
-		next = next.Add(time.Duration(r.ExpFloat64() / rate * float64(time.Second)))
+		next = next.Add(time.Duration(r.ExpFloat64() / rate * float64(s.Load.Clump) * float64(time.Second)))
 		if wait := time.Until(next); wait > 0 {
 			select {
 			case <-ctx.Done():
@@ -134,13 +134,23 @@
 			break
 		}
 		c.lag.Store(max(c.lag.Load(), int64(time.Since(next))))
-		m := c.draw(r)
-		m.early = early.Float64() < s.Load.Early
-		c.wait.Add(1)
-		go func() {
-			defer c.wait.Done()
-			c.hand(m, "")
-		}()
+		size, dest := 1, -1
+		if s.Load.Clump > 1 {
+			size = 1 + r.IntN(2*s.Load.Clump-1)
+		}
+		for range size {
+			m := c.draw(r)
+			if dest < 0 {
+				dest = m.dest
+			}
+			m.dest = dest
+			m.early = early.Float64() < s.Load.Early
+			c.wait.Add(1)
+			go func() {
+				defer c.wait.Done()
+				c.hand(m, "")
+			}()
+		}
 	}
 	c.stop.Store(true)
 	c.wait.Wait()
@@ -165,6 +175,9 @@
 		tenant: d.Tenants[pick(len(d.Tenants), func(i int) float64 { return d.Tenants[i].Share })].Name,
 		dest:   pick(len(d.Dests), func(i int) float64 { return d.Dests[i].Share }),
 		key:    fmt.Sprintf("k%016x%016x", r.Uint64(), r.Uint64())}
+	if m.class.Effect != "deduplicated" {
+		m.key = ""
+	}
 	raw := make([]byte, 40+r.IntN(300))
 	for i := range raw {
 		raw[i] = byte(r.Uint32())
@@ -263,7 +276,10 @@
 func (c *Clients) try(m *message, id, relay, addr, mark string, left time.Duration) (status int, after time.Duration, how string) {
 	var head strings.Builder
 	fmt.Fprintf(&head, "POST /api HTTP/1.1\r\nHost: api.internal\r\nX-Request-Id: %s\r\nX-Class: %s\r\nX-Tenant: %s\r\nX-Deadline-Ms: %d\r\n"+
-		"Idempotency-Key: %s\r\nContent-Length: %d\r\nX-Addressing: dest=%d\r\n", id, m.class.Name, m.tenant, left.Milliseconds(), m.key, len(m.body), m.dest)
+		"Content-Length: %d\r\nX-Addressing: dest=%d\r\n", id, m.class.Name, m.tenant, left.Milliseconds(), len(m.body), m.dest)
+	if m.key != "" {
+		fmt.Fprintf(&head, "Idempotency-Key: %s\r\n", m.key)
+	}
 	if mark != "" {
 		fmt.Fprintf(&head, "X-Retry: %s\r\n", mark)
 	}
--- a/internal/lab/platform/draw.go
+++ b/internal/lab/platform/draw.go
@@ -76,8 +76,17 @@
 		ReportNoise: between(r, 0.059, 0.14), Error: between(r, 0, 0.004), Cold: time.Duration(s.Platform.Cold).Seconds(),
 		Handshake: between(r, 0.001, 0.004)}
 	deadline := time.Duration(s.Load.Deadline)
-	d.Classes = []history.Class{{Name: "order-msg", Effect: "deduplicated", Window: deadline * 15 / 24,
-		Aim: deadline / 8, Deadline: deadline, Worth: 1, LateShare: 0.3}}
+	for _, k := range s.Load.Classes {
+		class := history.Class{Name: "order-msg", Effect: "deduplicated", Window: deadline * 15 / 24,
+			Aim: deadline / 8, Deadline: deadline, Worth: 1, LateShare: 0.3}
+		switch k {
+		case "safe":
+			class.Name, class.Effect, class.Window = "stock-query", "idempotent", 0
+		case "once":
+			class.Name, class.Effect, class.Window = "payment", "at_most_once", 0
+		}
+		d.Classes = append(d.Classes, class)
+	}
 	zipf, sum := between(r, 0.65, 0.96), 0.0
 	for i := range s.Platform.Destinations {
 		sum += math.Pow(float64(i+1), -zipf)
@@ -106,6 +115,7 @@
 	Listen    string          `json:"listen"`
 	Admin     string          `json:"admin_addr"`
 	Discovery string          `json:"discovery"`
+	Source    string          `json:"source"` // that the relay sends from
 	Seed      string          `json:"seed"`
 	Limits    map[string]any  `json:"limits"`
 	Known     json.RawMessage `json:"known"`
--- a/internal/lab/platform/partner.go
+++ b/internal/lab/platform/partner.go
@@ -81,8 +81,7 @@
 	waiting  []*job
 	conns    int
 	refuses  bool // it has drained
-	slow     float64
-	fails    float64
+	trouble  Trouble
 	applied  map[string]time.Time // keys that took effect
 	report   string
 	reported time.Time
@@ -111,7 +110,7 @@
 	}
 	for i := range env.Scenario.Platform.Destinations * env.Scenario.Platform.Endpoints {
 		d := p.dests[i%len(p.dests)]
-		e := &endpoint{name: fmt.Sprintf("endpoint/%d", i), id: fmt.Sprintf("s-%d", i), of: d, slow: 1, applied: map[string]time.Time{}}
+		e := &endpoint{name: fmt.Sprintf("endpoint/%d", i), id: fmt.Sprintf("s-%d", i), of: d, trouble: Trouble{Slow: 1}, applied: map[string]time.Time{}}
 		e.workers = max(1, int(math.Round(d.Capacity*d.mean())))
 		d.eps = append(d.eps, e)
 		p.eps[e.name] = e
@@ -131,6 +130,16 @@
 	return p.Net.Serve(relay, name, addr, func(c *link.Conn) { e.serve(relay, c) })
 }
 
+// ServeAll lets all relays reach an endpoint at one address.
+func (p *Partners) ServeAll(name, addr string, who func(ip string) string) (string, error) {
+	e := p.eps[name]
+	o, err := p.Net.ServeAll(name, addr, who, func(c *link.Conn) { e.serve(c.Peer(), c) })
+	if err != nil {
+		return "", err
+	}
+	return o.Addr, nil
+}
+
 // ID is the name of an endpoint on the list.
 func ID(name string) string { return "s-" + name[len("endpoint/"):] }
 
@@ -355,7 +364,7 @@
 func (e *endpoint) begin(j *job) {
 	d := e.of
 	e.busy++
-	takes := d.Median * math.Exp(d.Sigma*d.rand.NormFloat64()) * d.slow * e.slow / d.warmth(time.Now()) * j.weight
+	takes := d.Median * math.Exp(d.Sigma*d.rand.NormFloat64()) * d.slow * e.trouble.Slow / d.warmth(time.Now()) * j.weight
 	time.AfterFunc(time.Duration(takes*float64(time.Second)), func() { e.finish(j) })
 }
 
@@ -375,7 +384,7 @@
 		j.done()
 		return
 	}
-	status, failed := 200, max(d.fails, e.fails)
+	status, failed := 200, max(d.fails, e.trouble.Fails)
 	if d.rand.Float64() < max(d.all.Draw.Error, failed) {
 		status = 500
 		d.burn(j.relay, now)
@@ -413,6 +422,11 @@
 	if !drained {
 		header += e.load()
 	}
+	garbled := status < 400 && e.trouble.Garbles > 0 && d.rand.Float64() < e.trouble.Garbles
+	text, says := "", 0
+	if garbled {
+		text, says = garble(d.rand, j.many)
+	}
 	d.mu.Unlock()
 	var body []byte
 	if j.many && status == 200 {
@@ -420,8 +434,11 @@
 			body = append(body, id+" ok\r\n"...)
 		}
 	}
-	respond(j.conn, status, header, body, func(at int64, ok bool) {
+	written := func(at int64, ok bool) {
 		e := history.Event{T: at, Kind: history.Answer, Relay: j.relay, Call: j.call, Status: status, Wait: wait.Milliseconds()}
+		if garbled {
+			e.Status, e.How = says, history.Unreadable
+		}
 		if gone := j.conn.GoneAt(); gone > 0 && gone <= at { // it was written to nobody
 			e = history.Event{T: gone, Kind: history.Gone, Relay: j.relay, Call: j.call}
 		}
@@ -429,7 +446,41 @@
 			p.Record(e)
 		}
 		j.done()
-	})
+	}
+	if !garbled {
+		respond(j.conn, status, header, body, written)
+		return
+	}
+	j.conn.Send([]byte(text), written)
+	j.conn.Close()
+}
+
+// garble is an answer that no relay can read, and the status that it still tells: 200 where its first line says so
+// and it answers one message, else 0.
+func garble(r *rand.Rand, many bool) (text string, says int) {
+	junk := make([]byte, 20+r.IntN(200))
+	for i := range junk {
+		junk[i] = byte(r.Uint32())
+	}
+	const ok = "HTTP/1.1 200 OK\r\n"
+	switch r.IntN(6) {
+	case 0:
+		return string(junk), 0
+	case 1:
+		return "HTTP/1.1 2x0 OK\r\nContent-Length: 0\r\n\r\n", 0
+	case 2:
+		return "HTTP/1.1 200"[:5+r.IntN(7)], 0
+	case 3:
+		text = ok + "Content-Length: many\r\n\r\n"
+	case 4:
+		text = ok + "Content-Length: 500\r\n\r\n" + string(junk)
+	default:
+		text = ok + "\x00" + string(junk) + "\r\n\r\n"
+	}
+	if many {
+		return text, 0
+	}
+	return text, 200
 }
 
 // load is the report of an answer, which is as old as the last refreshing. The lock is held.
@@ -504,12 +555,19 @@
 	})
 }
 
-// Trouble has an endpoint fail a share of its calls and be so many times slower. 0 and 1 for a sound one.
-func (p *Partners) Trouble(name string, fails, slow float64) {
+// Trouble is what is wrong with an endpoint.
+type Trouble struct {
+	Fails   float64 // share of its calls
+	Slow    float64 // they take so many times as long
+	Garbles float64 // share of the answers to calls that ran that cannot be read
+}
+
+// Trouble changes what is wrong with an endpoint.
+func (p *Partners) Trouble(name string, change func(*Trouble)) {
 	e := p.eps[name]
 	e.of.mu.Lock()
 	defer e.of.mu.Unlock()
-	e.fails, e.slow = fails, slow
+	change(&e.trouble)
 }
 
 // Limit changes what a destination takes from all relays together by a factor.
--- a/internal/lab/platform/platform_test.go
+++ b/internal/lab/platform/platform_test.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
@@ -9,6 +10,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -374,3 +376,60 @@
 		t.Error("a figure that is no number passes")
 	}
 }
+
+// Guards against a garbled answer that can be read, and one that tells another status than it is said to.
+func TestGarble(t *testing.T) {
+	r := rand.New(rand.NewPCG(1, 2))
+	true200 := 0
+	for i := range 3000 {
+		many := i%2 == 0
+		text, says := garble(r, many)
+		resp, err := http.ReadResponse(bufio.NewReader(strings.NewReader(text)), nil)
+		if err == nil {
+			_, err = io.Copy(io.Discard, resp.Body)
+		}
+		if err == nil {
+			t.Fatalf("%q can be read", text)
+		}
+		if ok := strings.HasPrefix(text, "HTTP/1.1 200 OK\r\n"); says == 200 != (ok && !many) || says != 0 && says != 200 {
+			t.Fatalf("%q, many %v, is said to tell %d", text, many, says)
+		}
+		true200 += says
+	}
+	if true200 == 0 {
+		t.Error("none is true")
+	}
+}
+
+// Guards against strangers that are clients after all: what they send must be no message.
+func TestStrangersAreNoClients(t *testing.T) {
+	r := rand.New(rand.NewPCG(3, 4))
+	valid := []byte("POST /api HTTP/1.1\r\nHost: h\r\nX-Request-Id: s1\r\nX-Class: order-msg\r\nX-Tenant: a\r\nX-Deadline-Ms: 900\r\n" +
+		"Idempotency-Key: k\r\nX-Addressing: dest=0\r\nContent-Length: 5\r\n\r\nhello")
+	message := func(sent []byte) bool {
+		req, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(sent)))
+		if err != nil {
+			return false
+		}
+		body, err := io.ReadAll(req.Body)
+		h := req.Header
+		text, addressed := strings.CutPrefix(h.Get("X-Addressing"), "dest=")
+		dest, destErr := strconv.Atoi(text)
+		ms, msErr := strconv.Atoi(h.Get("X-Deadline-Ms"))
+		return err == nil && len(body) <= maxBody && req.TransferEncoding == nil && req.Method == "POST" && req.URL.Path == "/api" && addressed && destErr == nil && dest >= 0 &&
+			msErr == nil && ms >= 0 && h.Get("X-Class") == "order-msg" && h.Get("X-Request-Id") != ""
+	}
+	if !message(valid) {
+		t.Fatal("a message is not taken for one")
+	}
+	for _, m := range manners {
+		for range 50 {
+			if sent := bytes.Join(m.pieces(r, valid), nil); message(sent) {
+				t.Fatalf("%s is a message: %q", m.name, sent)
+			}
+			if m.flood {
+				break
+			}
+		}
+	}
+}
--- a/internal/lab/relay.go
+++ b/internal/lab/relay.go
@@ -99,6 +99,10 @@
 // clientIP is the address of the nth client.
 func (b block) clientIP(n int) string { return fmt.Sprintf("%s.%d.%d", b.prefix, 100+n/250, 1+n%250) }
 
+// strangerIP is where strangers come from, sharedIP where parties stand that all relays reach at one address.
+func (b block) strangerIP() string { return b.prefix + ".200.1" }
+func (b block) sharedIP() string   { return b.prefix + ".201.1" }
+
 // newRelay makes a relay's folder, addresses and links.
 func newRelay(w *world, index int) (*relay, error) {
 	r := &relay{name: fmt.Sprintf("relay/%d", index), w: w, dir: filepath.Join(w.dir, fmt.Sprintf("relay-%d", index))}
@@ -116,9 +120,11 @@
 		if p.Kind() != "endpoint" {
 			continue
 		}
-		addr, err := w.partners.Serve(r.name, p.Name, ip+":0")
-		if err != nil {
-			return nil, err
+		addr := w.shared[p.Name]
+		if addr == "" {
+			if addr, err = w.partners.Serve(r.name, p.Name, ip+":0"); err != nil {
+				return nil, err
+			}
 		}
 		w.discovery.Reach(r.name, p.Name, addr)
 	}
@@ -127,7 +133,7 @@
 		return nil, err
 	}
 	f := w.scenario.Fleet
-	r.config = platform.Config{Name: r.name, Listen: r.listen, Discovery: discovery, Seed: fmt.Sprintf("%016x", w.scenario.Seed*1000003+uint64(index)),
+	r.config = platform.Config{Name: r.name, Listen: r.listen, Discovery: discovery, Source: ip, Seed: fmt.Sprintf("%016x", w.scenario.Seed*1000003+uint64(index)),
 		Limits:   map[string]any{"cores": f.Cores, "memory_mb": f.MemoryMB, "sockets": f.Sockets, "disk_mb": f.DiskMB},
 		Settings: w.draw.Settings(w.scenario, index)}
 	return r, nil
--- a/internal/lab/rules/rules.go
+++ b/internal/lab/rules/rules.go
@@ -29,10 +29,11 @@
 	Own      Rule = "own"      // a call has what a client handed in, unchanged, at an endpoint of its destination
 	Figures  Rule = "figures"  // /metrics tells the truth
 	Process  Rule = "process"  // no process ends unasked or goes over a limit
+	Strange  Rule = "strange"  // who sends what is no message, or nothing, gets an error or a close in time
 )
 
 // All are the rules, in the order of the pages.
-var All = []Rule{End, Once, Twice, Repeat, Attempts, Wait, Drain, Cold, Own, Figures, Process}
+var All = []Rule{End, Once, Twice, Repeat, Attempts, Wait, Drain, Cold, Own, Figures, Process, Strange}
 
 // The slack of the protocol's page, in microseconds.
 const (
@@ -321,6 +322,8 @@
 		c.sample(e)
 	case history.Fell:
 		c.fell(e)
+	case history.Stranger:
+		c.stranger(e)
 	case history.Bad:
 		c.broken(Own, e.T, "", fmt.Sprintf("%s was sent what it could not read: %s", e.Endpoint, e.Text), []string{e.Relay}, e)
 	}
@@ -715,6 +718,23 @@
 	}
 }
 
+// stranger looks whether a peer that is no client got what it is owed. One that a stop, a restart or an end of the
+// relay came between is not judged.
+func (c *Checker) stranger(e history.Event) {
+	p := c.proc(e.Relay)
+	if p.down > 0 || p.resumed >= e.Begun {
+		return
+	}
+	c.looked(Strange)
+	took := e.T - e.Begun
+	switch {
+	case e.Status > 0 && e.Status < 400:
+		c.broken(Strange, e.T, "", fmt.Sprintf("a peer that sent %s was answered %d", e.How, e.Status), []string{e.Relay}, e)
+	case e.State == "waits" || took > e.Left*ms+slack:
+		c.broken(Strange, e.T, "", fmt.Sprintf("a peer that sent %s had neither an error nor a close after %.3f s", e.How, float64(took)/1e6), []string{e.Relay}, e)
+	}
+}
+
 func (c *Checker) sample(e history.Event) {
 	limits, ok := c.terms.Limits[e.Proc]
 	if !ok {
--- a/internal/lab/rules/rules_test.go
+++ b/internal/lab/rules/rules_test.go
@@ -73,6 +73,12 @@
 	fell := func(knew float64) history.Event {
 		return history.Event{T: 100, Kind: history.Fell, Figures: map[string]float64{"knew:relay/0": knew, "new:relay/1": 10 - knew}}
 	}
+	strange := func(t int64, status int, state string) history.Event {
+		return history.Event{T: t, Kind: history.Stranger, Begun: 100, Left: 3000, Status: status, State: state}
+	}
+	unreadable := func(t, n int64, status int) history.Event {
+		return history.Event{T: t, Kind: history.Answer, Call: n, Status: status, How: history.Unreadable}
+	}
 	served := []history.Event{sentAs(200, 1, "m", "endpoint/0"), answer(300, 1, 200)}
 	for name, c := range map[string]struct {
 		rule   Rule // that is broken; empty for none
@@ -115,34 +121,44 @@
 			sentAs(400, 3, "m", "endpoint/0"), answer(410, 3, 200))},
 		"four attempts": {Attempts, taken("keyed", sentAs(200, 1, "m", "endpoint/0"), answer(210, 1, 503), sentAs(300, 2, "m", "endpoint/0"), answer(310, 2, 503),
 			sentAs(400, 3, "m", "endpoint/0"), answer(410, 3, 503), sentAs(500, 4, "m", "endpoint/0"), answer(510, 4, 200))},
-		"sent as a wait is told":        {"", append(taken("keyed", sentAs(200, 1, "m", "endpoint/0"), told(300, 1, 1000)), hand(310, "n", "keyed"), sentAs(440, 2, "n", "endpoint/0"), answer(450, 2, 200), notice(1500, "m", "deferred"))},
-		"sent in a wait":                {Wait, append(taken("keyed", sentAs(200, 1, "m", "endpoint/0"), told(300, 1, 1000)), hand(310, "n", "keyed"), sentAs(460, 2, "n", "endpoint/1"), answer(470, 2, 200), notice(1500, "m", "deferred"))},
-		"a wait that nobody read":       {"", taken("keyed", sentAs(200, 1, "m", "endpoint/0"), told(300, 1, 1000), gone(320, 1), sentAs(600, 2, "m", "endpoint/1"), answer(700, 2, 200))},
-		"sent as a wait ends":           {"", taken("keyed", sentAs(200, 1, "m", "endpoint/0"), told(300, 1, 1000), sentAs(1260, 2, "m", "endpoint/0"), answer(1300, 2, 200))},
-		"a restart ends the wait":       {"", taken("keyed", sentAs(200, 1, "m", "endpoint/0"), told(300, 1, 1000), proc(400, "kill"), proc(450, "start"), proc(460, "ready"), sentAs(600, 2, "m", "endpoint/0"), answer(700, 2, 200))},
-		"an upgrade does not":           {Wait, taken("keyed", sentAs(200, 1, "m", "endpoint/0"), told(300, 1, 1000), history.Event{T: 450, Kind: history.Proc, Proc: "relay/0", How: "start", Text: "beside"}, proc(460, "ready"), sentAs(600, 2, "m", "endpoint/0"), answer(700, 2, 200))},
-		"sent in the grace of a drain":  {"", append([]history.Event{drain, asks, hears(70)}, hand(100, "m", "keyed"), sentAs(1110, 1, "m", "endpoint/0"), answer(1200, 1, 200))},
-		"sent after a drain":            {Drain, append([]history.Event{drain, asks, hears(70)}, hand(100, "m", "keyed"), sentAs(1130, 1, "m", "endpoint/0"), answer(1200, 1, 200))},
-		"never told of the drain":       {"", append([]history.Event{drain, asks}, hand(100, "m", "keyed"), sentAs(3000, 1, "m", "endpoint/0"), answer(3100, 1, 200))},
-		"never asked for the list":      {Drain, append([]history.Event{drain}, hand(9000, "m", "keyed"), sentAs(12000, 1, "m", "endpoint/0"), answer(12100, 1, 200))},
-		"told while it stood still":     {"", append([]history.Event{drain, asks, proc(65, "stop"), hears(70), proc(3000, "cont")}, hand(100, "m", "keyed"), sentAs(3900, 1, "m", "endpoint/0"), answer(4000, 1, 200))},
-		"sent after a ban":              {Drain, []history.Event{ban(50, "disable", 200), hand(100, "m", "keyed"), sentAs(1200, 1, "m", "endpoint/0"), answer(1300, 1, 200)}},
-		"a ban that was refused":        {"", []history.Event{ban(50, "disable", 404), hand(100, "m", "keyed"), sentAs(1200, 1, "m", "endpoint/0"), answer(1300, 1, 200)}},
-		"sent after it is given back":   {"", []history.Event{ban(50, "disable", 200), ban(1000, "enable", 0), hand(100, "m", "keyed"), sentAs(1200, 1, "m", "endpoint/0"), answer(1300, 1, 200)}},
-		"pushed over by who knew":       {Cold, []history.Event{fell(7)}},
-		"pushed over by who did not":    {"", []history.Event{fell(6)}},
-		"held up until it is forgotten": {"", []history.Event{{T: 9000, Kind: history.Call, Call: 1, IDs: []string{"m"}, Sums: []string{"s"}, Endpoint: "endpoint/0", Begun: 3900, Whole: 3900}}},
-		"of nobody":                     {Own, []history.Event{sentAs(200, 1, "m", "endpoint/0"), answer(210, 1, 200)}},
-		"a changed body":                {Own, []history.Event{hand(100, "m", "keyed"), {T: 200, Kind: history.Call, Call: 1, IDs: []string{"m"}, Sums: []string{"x"}, Endpoint: "endpoint/0", Begun: 200, Whole: 200}}},
-		"another destination":           {Own, []history.Event{hand(100, "m", "keyed"), {T: 200, Kind: history.Call, Call: 1, IDs: []string{"m"}, Sums: []string{"s"}, Dest: 3, Endpoint: "endpoint/0", Begun: 200, Whole: 200}}},
-		"what could not be read":        {Own, []history.Event{{T: 100, Kind: history.Bad, Endpoint: "endpoint/0"}}},
-		"figures within bounds":         {"", taken("keyed", append(served, figures(1000, 4, 4))...)},
-		"served told too high":          {Figures, taken("keyed", append(served, figures(1000, 5, 1))...)},
-		"attempts told too high":        {Figures, taken("keyed", append(served, figures(1000, 1, 5))...)},
-		"attempts nobody got":           {"", append([]history.Event{{T: 20, Kind: history.Fault, How: "begin", State: history.Lossy}}, taken("keyed", append(served, figures(1000, 1, 50))...)...)},
-		"ended unasked":                 {Process, []history.Event{proc(100, "crash")}},
-		"over a limit":                  {Process, []history.Event{use(65)}},
-		"within it":                     {"", []history.Event{use(63)}},
+		"sent as a wait is told":         {"", append(taken("keyed", sentAs(200, 1, "m", "endpoint/0"), told(300, 1, 1000)), hand(310, "n", "keyed"), sentAs(440, 2, "n", "endpoint/0"), answer(450, 2, 200), notice(1500, "m", "deferred"))},
+		"sent in a wait":                 {Wait, append(taken("keyed", sentAs(200, 1, "m", "endpoint/0"), told(300, 1, 1000)), hand(310, "n", "keyed"), sentAs(460, 2, "n", "endpoint/1"), answer(470, 2, 200), notice(1500, "m", "deferred"))},
+		"a wait that nobody read":        {"", taken("keyed", sentAs(200, 1, "m", "endpoint/0"), told(300, 1, 1000), gone(320, 1), sentAs(600, 2, "m", "endpoint/1"), answer(700, 2, 200))},
+		"sent as a wait ends":            {"", taken("keyed", sentAs(200, 1, "m", "endpoint/0"), told(300, 1, 1000), sentAs(1260, 2, "m", "endpoint/0"), answer(1300, 2, 200))},
+		"a restart ends the wait":        {"", taken("keyed", sentAs(200, 1, "m", "endpoint/0"), told(300, 1, 1000), proc(400, "kill"), proc(450, "start"), proc(460, "ready"), sentAs(600, 2, "m", "endpoint/0"), answer(700, 2, 200))},
+		"an upgrade does not":            {Wait, taken("keyed", sentAs(200, 1, "m", "endpoint/0"), told(300, 1, 1000), history.Event{T: 450, Kind: history.Proc, Proc: "relay/0", How: "start", Text: "beside"}, proc(460, "ready"), sentAs(600, 2, "m", "endpoint/0"), answer(700, 2, 200))},
+		"sent in the grace of a drain":   {"", append([]history.Event{drain, asks, hears(70)}, hand(100, "m", "keyed"), sentAs(1110, 1, "m", "endpoint/0"), answer(1200, 1, 200))},
+		"sent after a drain":             {Drain, append([]history.Event{drain, asks, hears(70)}, hand(100, "m", "keyed"), sentAs(1130, 1, "m", "endpoint/0"), answer(1200, 1, 200))},
+		"never told of the drain":        {"", append([]history.Event{drain, asks}, hand(100, "m", "keyed"), sentAs(3000, 1, "m", "endpoint/0"), answer(3100, 1, 200))},
+		"never asked for the list":       {Drain, append([]history.Event{drain}, hand(9000, "m", "keyed"), sentAs(12000, 1, "m", "endpoint/0"), answer(12100, 1, 200))},
+		"told while it stood still":      {"", append([]history.Event{drain, asks, proc(65, "stop"), hears(70), proc(3000, "cont")}, hand(100, "m", "keyed"), sentAs(3900, 1, "m", "endpoint/0"), answer(4000, 1, 200))},
+		"sent after a ban":               {Drain, []history.Event{ban(50, "disable", 200), hand(100, "m", "keyed"), sentAs(1200, 1, "m", "endpoint/0"), answer(1300, 1, 200)}},
+		"a ban that was refused":         {"", []history.Event{ban(50, "disable", 404), hand(100, "m", "keyed"), sentAs(1200, 1, "m", "endpoint/0"), answer(1300, 1, 200)}},
+		"sent after it is given back":    {"", []history.Event{ban(50, "disable", 200), ban(1000, "enable", 0), hand(100, "m", "keyed"), sentAs(1200, 1, "m", "endpoint/0"), answer(1300, 1, 200)}},
+		"pushed over by who knew":        {Cold, []history.Event{fell(7)}},
+		"pushed over by who did not":     {"", []history.Event{fell(6)}},
+		"held up until it is forgotten":  {"", []history.Event{{T: 9000, Kind: history.Call, Call: 1, IDs: []string{"m"}, Sums: []string{"s"}, Endpoint: "endpoint/0", Begun: 3900, Whole: 3900}}},
+		"of nobody":                      {Own, []history.Event{sentAs(200, 1, "m", "endpoint/0"), answer(210, 1, 200)}},
+		"a changed body":                 {Own, []history.Event{hand(100, "m", "keyed"), {T: 200, Kind: history.Call, Call: 1, IDs: []string{"m"}, Sums: []string{"x"}, Endpoint: "endpoint/0", Begun: 200, Whole: 200}}},
+		"another destination":            {Own, []history.Event{hand(100, "m", "keyed"), {T: 200, Kind: history.Call, Call: 1, IDs: []string{"m"}, Sums: []string{"s"}, Dest: 3, Endpoint: "endpoint/0", Begun: 200, Whole: 200}}},
+		"what could not be read":         {Own, []history.Event{{T: 100, Kind: history.Bad, Endpoint: "endpoint/0"}}},
+		"figures within bounds":          {"", taken("keyed", append(served, figures(1000, 4, 4))...)},
+		"served told too high":           {Figures, taken("keyed", append(served, figures(1000, 5, 1))...)},
+		"attempts told too high":         {Figures, taken("keyed", append(served, figures(1000, 1, 5))...)},
+		"attempts nobody got":            {"", append([]history.Event{{T: 20, Kind: history.Fault, How: "begin", State: history.Lossy}}, taken("keyed", append(served, figures(1000, 1, 50))...)...)},
+		"ended unasked":                  {Process, []history.Event{proc(100, "crash")}},
+		"over a limit":                   {Process, []history.Event{use(65)}},
+		"within it":                      {"", []history.Event{use(63)}},
+		"a stranger closed in time":      {"", []history.Event{strange(3140, 0, "closed")}},
+		"a stranger told in time":        {"", []history.Event{strange(3140, 400, "answered")}},
+		"a stranger closed late":         {Strange, []history.Event{strange(3160, 0, "closed")}},
+		"a stranger that waits":          {Strange, []history.Event{strange(3100, 0, "waits")}},
+		"a stranger taken on":            {Strange, []history.Event{strange(200, 202, "answered")}},
+		"a stranger in a pause":          {"", []history.Event{proc(50, "stop"), proc(300, "cont"), strange(3500, 0, "waits")}},
+		"an answer nobody can read":      {"", taken("keyed", sentAs(200, 1, "m", "endpoint/0"), unreadable(300, 1, 0), sentAs(400, 2, "m", "endpoint/0"), answer(500, 2, 200))},
+		"not taken for a delivery":       {End, taken("keyed", sentAs(200, 1, "m", "endpoint/0"), unreadable(300, 1, 0))},
+		"it may have run":                {Repeat, taken("unsafe", sentAs(200, 1, "m", "endpoint/0"), unreadable(300, 1, 0), sentAs(400, 2, "m", "endpoint/0"), answer(500, 2, 200))},
+		"true if its first line says so": {"", taken("keyed", sentAs(200, 1, "m", "endpoint/0"), unreadable(300, 1, 200))},
 	} {
 		r := play(c.events...)
 		for rule, n := range r.Broken {
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -67,6 +67,7 @@
 	Latency      Duration `toml:"latency"`   // median of a call
 	Limit        float64  `toml:"limit"`     // calls a second of a destination from all relays; 0 for none
 	Cold         Duration `toml:"cold"`      // time in which a destination that comes back warms up
+	Shared       bool     `toml:"shared"`    // all relays reach an endpoint at one address, and are known by theirs
 }
 
 // Load is what clients hand in.
@@ -76,6 +77,10 @@
 	Deadline Duration `toml:"deadline"`
 	Clients  int      `toml:"clients"`
 	Early    float64  `toml:"early"` // share of clients that leave before their answer
+	// Classes are what may be repeated: keyed (for a time), safe (always) and once (never). Each gets its share.
+	Classes   []string `toml:"classes"`
+	Clump     int      `toml:"clump"`     // messages that come at once for one destination, in the mean; 1 for one by one
+	Strangers float64  `toml:"strangers"` // peers a second that send what is no message, or nothing
 }
 
 // Fault is something that is wrong for a while.
@@ -115,7 +120,7 @@
 var (
 	linkFaults    = []string{"cut", "drop", "delay", "slow", "reset", "halfopen", "refuse", "lateclose"}
 	processFaults = []string{"pause", "kill", "term", "upgrade"}
-	partnerFaults = []string{"outage", "shut", "errors", "slow", "limit"}
+	partnerFaults = []string{"outage", "shut", "errors", "slow", "limit", "garble"}
 	listFaults    = []string{"outage", "late-list"}
 	steps         = []string{"settings", "list", "drain", "ban", "unban"}
 	// laterSteps and the expectations without a measure need keepers, which are not there yet. They are
@@ -163,7 +168,7 @@
 		Fleet: Fleet{Relays: 3, Zones: []string{"a"}, Lease: Duration(10 * time.Second), MemoryMB: 64, Sockets: 512, DiskMB: 3, Cores: 1},
 		Platform: Platform{Destinations: 5, Endpoints: 2, Latency: Duration(40 * time.Millisecond), Limit: 60,
 			Cold: Duration(6 * time.Second)},
-		Load: Load{Rate: 60, Burst: 1, Deadline: Duration(6 * time.Second), Clients: 8}}
+		Load: Load{Rate: 60, Burst: 1, Deadline: Duration(6 * time.Second), Clients: 8, Classes: []string{"keyed"}, Clump: 1}}
 }
 
 // Parse reads a scenario from the text of a file.
@@ -228,6 +233,16 @@
 	within("load.deadline (seconds)", time.Duration(s.Load.Deadline).Seconds(), 0.1, 3600)
 	within("load.clients", float64(s.Load.Clients), 1, 10000)
 	within("load.early", s.Load.Early, 0, 1)
+	within("load.clump", float64(s.Load.Clump), 1, 1000)
+	within("load.strangers", s.Load.Strangers, 0, 1000)
+	if len(s.Load.Classes) == 0 {
+		bad("load.classes", "must name one at least of %s", strings.Join(Classes, ", "))
+	}
+	for i, k := range s.Load.Classes {
+		if !slices.Contains(Classes, k) || slices.Contains(s.Load.Classes[:i], k) {
+			bad("load.classes", "%q is not one of %s, or stands twice", k, strings.Join(Classes, ", "))
+		}
+	}
 	for i, f := range s.Faults {
 		key := fmt.Sprintf("fault[%d]", i)
 		if err := s.checkFault(f); err != nil {
@@ -283,8 +298,8 @@
 		return fmt.Errorf("%q is nothing that is wrong with a link (%s); without \"to\" it is of the party itself", f.Kind, strings.Join(linkFaults, ", "))
 	case from.kind == "relay" && is(processFaults):
 	case from.kind == "endpoint" && is(partnerFaults):
-		if f.Kind == "errors" && !(f.Part > 0 && f.Part <= 1) || f.Kind == "slow" && f.Part <= 1 || f.Kind == "limit" && !(f.Part > 0) {
-			return fmt.Errorf("%s needs part: errors a share above 0, slow a factor above 1, limit a factor above 0", f.Kind)
+		if (f.Kind == "errors" || f.Kind == "garble") && !(f.Part > 0 && f.Part <= 1) || f.Kind == "slow" && f.Part <= 1 || f.Kind == "limit" && !(f.Part > 0) {
+			return fmt.Errorf("%s needs part: errors and garble a share above 0, slow a factor above 1, limit a factor above 0", f.Kind)
 		}
 	case from.kind == "discovery" && is(listFaults):
 		if f.Kind == "late-list" && f.By == 0 {
@@ -342,6 +357,9 @@
 	return nil
 }
 
+// Classes are the kinds of class that a load may have.
+var Classes = []string{"keyed", "safe", "once"}
+
 // Settable are the settings that a step can set.
 var Settable = []string{"max-attempts", "most-held", "destination-limit", "aim", "give-up", "workers"}
 
--- a/internal/lab/standin/standin.go
+++ b/internal/lab/standin/standin.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -40,6 +41,8 @@
 	Endless  Flaw = "has no limit of attempts"
 	Dies     Flaw = "ends unasked"
 	Invented Flaw = "sends what nobody handed in"
+	Patient  Flaw = "waits for ever for what a peer has to say"
+	Welcomes Flaw = "takes on what is no message"
 )
 
 // Env names the variable that has a stand-in's flaw.
@@ -57,6 +60,7 @@
 	listen   string
 	admin    string
 	platform string
+	classes  []string
 	window   time.Duration
 	most     int
 
@@ -95,6 +99,7 @@
 				MaxAttempts int `json:"max-attempts"`
 			} `json:"bounds"`
 			Classes []struct {
+				Name   string  `json:"name"`
 				Window float64 `json:"window"`
 			} `json:"classes"`
 		} `json:"settings"`
@@ -106,6 +111,9 @@
 		window: time.Duration(conf.Settings.Classes[0].Window * float64(time.Second)), hosts: map[string]entry{}, out: map[string]bool{},
 		waits: map[int]time.Time{}, calls: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: 5 * time.Second}},
 		notices: &http.Client{Timeout: time.Second}}
+	for _, k := range conf.Settings.Classes {
+		r.classes = append(r.classes, k.Name)
+	}
 	r.take(conf.Known.Version, true, conf.Known.Servers)
 	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM)
 	defer cancel()
@@ -123,7 +131,11 @@
 		if err != nil {
 			return err
 		}
-		go http.Serve(l, h)
+		server := &http.Server{Handler: h, ReadTimeout: patience}
+		if flaw == Patient {
+			server.ReadTimeout = 0
+		}
+		go server.Serve(l)
 	}
 	if flaw == Dies {
 		time.AfterFunc(time.Second, func() { os.Exit(3) })
@@ -193,6 +205,9 @@
 	}
 }
 
+// patience is how long a peer may take to say what it has to.
+const patience = 2 * time.Second
+
 // message is one that was taken on.
 type message struct {
 	id, key string
@@ -202,10 +217,15 @@
 }
 
 func (r *relay) serve(w http.ResponseWriter, req *http.Request) {
-	body, err := io.ReadAll(req.Body)
+	body, err := io.ReadAll(http.MaxBytesReader(w, req.Body, 64<<10))
 	ms, err2 := strconv.Atoi(req.Header.Get("X-Deadline-Ms"))
-	dest, err3 := strconv.Atoi(strings.TrimPrefix(req.Header.Get("X-Addressing"), "dest="))
-	if errors.Join(err, err2, err3) != nil {
+	text, addressed := strings.CutPrefix(req.Header.Get("X-Addressing"), "dest=")
+	dest, err3 := strconv.Atoi(text)
+	class := slices.Contains(r.classes, req.Header.Get("X-Class"))
+	if r.flaw == Welcomes {
+		class = true
+	}
+	if errors.Join(err, err2, err3) != nil || ms < 0 || req.Header.Get("X-Request-Id") == "" || !addressed || !class {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
