--- a/internal/relay/journal.go
+++ b/internal/journal/journal.go
@@ -1,4 +1,6 @@
-package relay
+// Package journal is the durable record of the messages that a relay owes their end, and of what it has to
+// remember of endpoints across its processes: one append-only file that a start replays and compacts.
+package journal
 
 import (
 	"encoding/binary"
@@ -6,7 +8,9 @@
 	"errors"
 	"fmt"
 	"hash/crc32"
+	"iter"
 	"log/slog"
+	"maps"
 	"os"
 	"path/filepath"
 	"time"
@@ -14,26 +18,24 @@
 	"larchrouter/choice"
 )
 
-// The journal is one append-only file of records: length, CRC32, JSON. What
-// write(2) has taken outlasts the process, so nothing is synced. Times in it
-// are Unix milliseconds.
+// The file holds records: length, CRC32, JSON. What write(2) has taken outlasts
+// the process, so nothing is synced. Times in it are Unix milliseconds.
 
 const (
 	headerSize = 8
 	maxRecord  = 256 << 10
 	blockSize  = 512     // each file counts in whole blocks
 	slack      = 384     // room for an entry's history beyond what it was taken on with
-	reserve    = 1 << 17 // of the budget, kept for records of messages already held
+	reserve    = 1 << 17 // of the budget, kept for Records of messages already held
+	// forgetUnwell is when an outage last heard of is over for a relay that starts.
+	forgetUnwell = 5 * time.Minute
 )
 
-// errFull says that the journal has no room for one more message.
-var errFull = errors.New("journal: disk budget used up")
+// ErrFull says that the journal has no room for one more message.
+var ErrFull = errors.New("journal: disk budget used up")
 
-// errUnwritten says that earlier records still wait to be written.
-var errUnwritten = errors.New("journal: earlier records are not written yet")
-
-// entry is all that is needed to send a message again, or to end it.
-type entry struct {
+// Entry is all that is needed to send a message again, or to end it.
+type Entry struct {
 	ID     string        `json:"id"`
 	Class  string        `json:"class"`
 	Dest   int           `json:"dest"`
@@ -58,19 +60,20 @@
 
 // What a record tells of a message.
 const (
-	opTaken   = "taken"   // Entry: taken on, or carried over by compaction
-	opTry     = "try"     // an attempt is about to go
-	opOutcome = "outcome" // it ended
-	opNotice  = "notice"  // the message ended undelivered; its notice is owed
-	opEnd     = "end"     // nothing more is owed
-	opHealth  = "health"  // ID is a host: an outage was seen there (Ran), or has passed
-	opByHand  = "hand"    // ID is a host: operators took it out (Ran), or gave it back, at At
+	OpTaken   = "taken"   // Entry: taken on, or carried over by compaction
+	OpTry     = "try"     // an attempt is about to go
+	OpOutcome = "outcome" // it ended
+	OpNotice  = "notice"  // the message ended undelivered; its notice is owed
+	OpEnd     = "end"     // nothing more is owed
+	OpHealth  = "health"  // ID is a host: an outage was seen there (Ran), or has passed
+	OpByHand  = "hand"    // ID is a host: operators took it out (Ran), or gave it back, at At
 )
 
-type record struct {
+// Record is one thing that happened.
+type Record struct {
 	Op     string  `json:"op"`
 	ID     string  `json:"i,omitempty"`
-	Entry  *entry  `json:"e,omitempty"`
+	Entry  *Entry  `json:"e,omitempty"`
 	At     int64   `json:"at,omitempty"`
 	Wait   int64   `json:"w,omitempty"`
 	Zone   int     `json:"z,omitempty"`
@@ -80,7 +83,7 @@
 	Base   float64 `json:"b,omitempty"`
 }
 
-func frame(buf []byte, r record) []byte {
+func frame(buf []byte, r Record) []byte {
 	payload, err := json.Marshal(r)
 	if err != nil {
 		panic(err) // no field of a record can fail
@@ -92,7 +95,7 @@
 
 // unframe reads the record at the start of data and tells how long it is. A
 // torn or corrupt one is an error: where the next begins cannot be told from it.
-func unframe(data []byte) (r record, n int, err error) {
+func unframe(data []byte) (r Record, n int, err error) {
 	if len(data) < headerSize {
 		return r, 0, errors.New("torn header")
 	}
@@ -110,23 +113,24 @@
 	return r, headerSize + int(size), nil
 }
 
-type journal struct {
+// Journal is one relay's, open in one process. It is not safe for concurrent use.
+type Journal struct {
 	path    string
 	budget  int64 // for all files together
 	f       *os.File
 	size    int64
 	live    int64 // what a compacted journal takes at most
-	entries map[string]*entry
-	unwell  map[string]record // hosts in an outage, or cold after it
-	byHand  map[string]record // hosts that operators took out, or gave back not long ago
+	entries map[string]*Entry
+	unwell  map[string]Record // hosts in an outage, or cold after it
+	byHand  map[string]Record // hosts that operators took out, or gave back not long ago
 	order   []string          // ids as taken on; ended ones are dropped by compaction
 	broken  error             // a failed write could not be undone
 }
 
-// openJournal replays what an earlier process left and starts a compacted file.
-func openJournal(dir string, budget int64) (*journal, error) {
-	j := &journal{path: filepath.Join(dir, "journal"), budget: budget - 4*blockSize, entries: map[string]*entry{},
-		unwell: map[string]record{}, byHand: map[string]record{}}
+// Open replays what an earlier process left and starts a compacted file.
+func Open(dir string, budget int64) (*Journal, error) {
+	j := &Journal{path: filepath.Join(dir, "journal"), budget: budget - 4*blockSize, entries: map[string]*Entry{},
+		unwell: map[string]Record{}, byHand: map[string]Record{}}
 	// A leftover copy is of a compaction that a kill cut short: the old file still holds all.
 	if err := os.Remove(j.path + ".tmp"); err != nil && !errors.Is(err, os.ErrNotExist) {
 		return nil, err
@@ -153,7 +157,7 @@
 		at += n
 	}
 	j.size = int64(len(data))
-	if err := j.compact(); err != nil {
+	if err := j.Compact(); err != nil {
 		return nil, err
 	}
 	return j, nil
@@ -171,7 +175,7 @@
 
 // doubt takes it that each message known so far was sent, long ago, in records that are lost:
 // it may not go again where a repeat does harm, and is given back where it does none.
-func (j *journal) doubt() {
+func (j *Journal) doubt() {
 	for _, e := range j.entries {
 		if e.Status == "" {
 			e.Ran, e.RanAt = true, 0
@@ -180,49 +184,49 @@
 }
 
 // apply brings the entries up to date with one record.
-func (j *journal) apply(r record, n int64) {
+func (j *Journal) apply(r Record, n int64) {
 	e := j.entries[r.ID]
 	switch {
-	case r.Op == opHealth && r.Ran:
+	case r.Op == OpHealth && r.Ran:
 		if _, ok := j.unwell[r.ID]; !ok {
 			j.live += slack
 		}
 		j.unwell[r.ID] = r
-	case r.Op == opHealth:
+	case r.Op == OpHealth:
 		if _, ok := j.unwell[r.ID]; ok {
 			j.live -= slack
 		}
 		delete(j.unwell, r.ID)
-	case r.Op == opByHand:
+	case r.Op == OpByHand:
 		if _, ok := j.byHand[r.ID]; !ok {
 			j.live += slack
 		}
 		j.byHand[r.ID] = r
-	case r.Op == opTaken && r.Entry != nil && j.entries[r.Entry.ID] == nil:
+	case r.Op == OpTaken && r.Entry != nil && j.entries[r.Entry.ID] == nil:
 		e = r.Entry
 		e.size = n + slack
 		j.live += e.size
 		j.entries[e.ID] = e
 		j.order = append(j.order, e.ID)
 	case e == nil:
-	case r.Op == opTry:
+	case r.Op == OpTry:
 		e.Tries++
 		e.Out, e.OutAt, e.OutTo, e.Wait = true, r.At, r.Zone, r.Wait
-	case r.Op == opOutcome && e.Out:
+	case r.Op == OpOutcome && e.Out:
 		e.Out = false
 		if r.Ran && !e.Ran {
 			e.Ran, e.RanAt, e.Zone = true, e.OutAt, e.OutTo
 		}
-	case r.Op == opNotice:
+	case r.Op == OpNotice:
 		e.Status, e.Again, e.Body, e.Out = r.Status, r.Again, nil, false
-	case r.Op == opEnd:
+	case r.Op == OpEnd:
 		j.live -= e.size
 		delete(j.entries, r.ID)
 	}
 }
 
-// append writes records and applies them. When it fails nothing was recorded.
-func (j *journal) append(recs ...record) error {
+// Append writes records and applies them. When it fails nothing was recorded.
+func (j *Journal) Append(recs ...Record) error {
 	if j.broken != nil {
 		return j.broken
 	}
@@ -234,10 +238,10 @@
 		buf = frame(buf, r)
 		ends[i] = int64(len(buf) - before)
 		switch r.Op {
-		case opTaken:
+		case OpTaken:
 			grows += ends[i] + slack
 			spare = reserve
-		case opHealth, opByHand:
+		case OpHealth, OpByHand:
 			grows += slack
 		}
 	}
@@ -245,11 +249,11 @@
 	// The file and its compacted copy must fit together at any time.
 	fits := func() bool { return j.size+n+j.live+grows+spare <= j.budget }
 	if !fits() {
-		if err := j.compact(); err != nil {
+		if err := j.Compact(); err != nil {
 			return err
 		}
 		if !fits() {
-			return errFull
+			return ErrFull
 		}
 	}
 	if _, err := j.f.WriteAt(buf, j.size); err != nil {
@@ -266,13 +270,13 @@
 	return nil
 }
 
-// compact writes what is still owed to a new file and puts it in the old one's place.
-func (j *journal) compact() error {
+// Compact writes what is still owed to a new file and puts it in the old one's place.
+func (j *Journal) Compact() error {
 	var buf []byte
 	order := j.order[:0:0]
 	for _, id := range j.order {
 		if e := j.entries[id]; e != nil {
-			buf = frame(buf, record{Op: opTaken, Entry: e})
+			buf = frame(buf, Record{Op: OpTaken, Entry: e})
 			order = append(order, id)
 		}
 	}
@@ -317,3 +321,38 @@
 	j.f, j.size, j.order, j.broken = f, int64(len(buf)), order, nil
 	return nil
 }
+
+// Break has nothing more be written: the file may be another process's by now. A compaction that goes well ends it.
+func (j *Journal) Break(err error) { j.broken = err }
+
+// Close gives the file up.
+func (j *Journal) Close() error { return j.f.Close() }
+
+// All are the messages that are owed their end or its notice, in the order in which they were taken on.
+func (j *Journal) All() iter.Seq[*Entry] {
+	return func(yield func(*Entry) bool) {
+		for _, id := range j.order {
+			if e := j.entries[id]; e != nil && !yield(e) {
+				return
+			}
+		}
+	}
+}
+
+// Entry is what is held of a message; nil if it has ended.
+func (j *Journal) Entry(id string) *Entry { return j.entries[id] }
+
+// Len is how many messages are held.
+func (j *Journal) Len() int { return len(j.entries) }
+
+// Size is the length of the file in bytes.
+func (j *Journal) Size() int64 { return j.size }
+
+// Unwell are hosts in an outage, or cold after it.
+func (j *Journal) Unwell() iter.Seq2[string, Record] { return maps.All(j.unwell) }
+
+// ByHand are hosts that operators took out, or gave back not long ago.
+func (j *Journal) ByHand() iter.Seq2[string, Record] { return maps.All(j.byHand) }
+
+// Out tells whether operators have taken a host out.
+func (j *Journal) Out(host string) bool { return j.byHand[host].Ran }
--- a/internal/relay/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -1,4 +1,4 @@
-package relay
+package journal
 
 import (
 	"bytes"
@@ -10,9 +10,9 @@
 	"time"
 )
 
-func open(t *testing.T, dir string, budget int64) *journal {
+func open(t *testing.T, dir string, budget int64) *Journal {
 	t.Helper()
-	j, err := openJournal(dir, budget)
+	j, err := Open(dir, budget)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -20,25 +20,25 @@
 	return j
 }
 
-func put(t *testing.T, j *journal, recs ...record) {
+func put(t *testing.T, j *Journal, recs ...Record) {
 	t.Helper()
-	if err := j.append(recs...); err != nil {
+	if err := j.Append(recs...); err != nil {
 		t.Fatal(err)
 	}
 }
 
-func taken(id string, size int) record {
-	return record{Op: opTaken, Entry: &entry{ID: id, Class: "payment", Dest: 7, Due: 99, Body: bytes.Repeat([]byte{7}, size)}}
+func taken(id string, size int) Record {
+	return Record{Op: OpTaken, Entry: &Entry{ID: id, Class: "payment", Dest: 7, Due: 99, Body: bytes.Repeat([]byte{7}, size)}}
 }
 
 func TestJournalReplay(t *testing.T) {
 	dir := t.TempDir()
 	j := open(t, dir, 3e6)
 	put(t, j, taken("a", 10), taken("b", 10), taken("c", 10), taken("d", 10))
-	put(t, j, record{Op: opTry, ID: "a", At: 5, Wait: 300, Zone: 2}, record{Op: opOutcome, ID: "a", Ran: true},
-		record{Op: opTry, ID: "a", At: 9, Zone: 1}, record{Op: opOutcome, ID: "a", Ran: true})
-	put(t, j, record{Op: opTry, ID: "b", At: 6, Zone: 1}, record{Op: opEnd, ID: "c"},
-		record{Op: opNotice, ID: "d", Status: deferred, Again: 700}, record{Op: opHealth, ID: "s-1", Ran: true, Base: 2, At: time.Now().UnixMilli()})
+	put(t, j, Record{Op: OpTry, ID: "a", At: 5, Wait: 300, Zone: 2}, Record{Op: OpOutcome, ID: "a", Ran: true},
+		Record{Op: OpTry, ID: "a", At: 9, Zone: 1}, Record{Op: OpOutcome, ID: "a", Ran: true})
+	put(t, j, Record{Op: OpTry, ID: "b", At: 6, Zone: 1}, Record{Op: OpEnd, ID: "c"},
+		Record{Op: OpNotice, ID: "d", Status: "deferred", Again: 700}, Record{Op: OpHealth, ID: "s-1", Ran: true, Base: 2, At: time.Now().UnixMilli()})
 	for range 2 { // the second time from the compacted file
 		j = open(t, dir, 3e6)
 		want(t, "entries", len(j.entries), 3)
@@ -107,20 +107,20 @@
 	var err error
 	n := 0
 	for ; err == nil; n++ {
-		err = j.append(taken(fmt.Sprint("m", n), 5000))
+		err = j.Append(taken(fmt.Sprint("m", n), 5000))
 		if sum := j.size + j.live + 2*blockSize; sum > budget {
 			t.Fatalf("file and copy may take %d of %d", sum, budget)
 		}
 	}
-	if !errors.Is(err, errFull) {
+	if !errors.Is(err, ErrFull) {
 		t.Fatal(err)
 	}
 	for i := range n - 1 {
 		id := fmt.Sprint("m", i)
-		put(t, j, record{Op: opTry, ID: id}, record{Op: opOutcome, ID: id}, record{Op: opNotice, ID: id, Status: deferred})
+		put(t, j, Record{Op: OpTry, ID: id}, Record{Op: OpOutcome, ID: id}, Record{Op: OpNotice, ID: id, Status: "deferred"})
 	}
 	for i := range n - 1 {
-		put(t, j, record{Op: opEnd, ID: fmt.Sprint("m", i)})
+		put(t, j, Record{Op: OpEnd, ID: fmt.Sprint("m", i)})
 	}
 	want(t, "live bytes", j.live, 0)
 	put(t, j, taken("again", 5000))
@@ -138,7 +138,7 @@
 	}
 	defer ro.Close()
 	j.f = ro
-	if err := j.append(taken("b", 10)); err == nil {
+	if err := j.Append(taken("b", 10)); err == nil {
 		t.Fatal("a write to a read-only file went well")
 	}
 	want(t, "entries", len(j.entries), 1)
@@ -147,34 +147,11 @@
 	want(t, "entries after the next start", len(open(t, dir, 3e6).entries), 2)
 }
 
-// Guards against a refusal that becomes a crash: a relay whose disk is full answers 503 and goes on.
-func TestFullDiskRefuses(t *testing.T) {
-	calls := make(chan *seen, 10)
-	r := startRelay(t, newPlatform(t, at("s-1", fakeHost(t, "a", calls), "taller")), nil)
-	set := func(budget int64) (old int64) {
-		was := make(chan int64)
-		r.post(func() {
-			was <- r.journal.budget
-			r.journal.budget = budget
-		})
-		return wait(t, was, "budget")
-	}
-	old := set(1000)
-	status, _ := hand(t, r.Addr(), "m1", "payment")
-	want(t, "status", status, 503)
-	set(old)
-	status, _ = hand(t, r.Addr(), "m2", "payment")
-	want(t, "status", status, 202)
-	c := wait(t, calls, "call")
-	want(t, "id", c.id, "m2")
-	c.answer <- 200
-}
-
 func FuzzJournal(f *testing.F) {
-	good := frame(frame(nil, taken("a", 3)), record{Op: opTry, ID: "a"})
+	good := frame(frame(nil, taken("a", 3)), Record{Op: OpTry, ID: "a"})
 	f.Add(good)
 	f.Add(good[:len(good)-1])
-	f.Add(frame(nil, record{Op: opTaken}))
+	f.Add(frame(nil, Record{Op: OpTaken}))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		dir := t.TempDir()
 		if err := os.WriteFile(filepath.Join(dir, "journal"), data, 0o600); err != nil {
@@ -195,12 +172,19 @@
 	j := open(t, t.TempDir(), 3e6)
 	long := time.Now().Add(-2 * forgetUnwell).UnixMilli()
 	for i := range 500 {
-		put(t, j, record{Op: opHealth, ID: fmt.Sprint("s-", i), Ran: true, At: long})
+		put(t, j, Record{Op: OpHealth, ID: fmt.Sprint("s-", i), Ran: true, At: long})
 	}
-	put(t, j, record{Op: opHealth, ID: "s-new", Ran: true, At: time.Now().UnixMilli()})
-	if err := j.compact(); err != nil {
+	put(t, j, Record{Op: OpHealth, ID: "s-new", Ran: true, At: time.Now().UnixMilli()})
+	if err := j.Compact(); err != nil {
 		t.Fatal(err)
 	}
 	want(t, "outages", len(j.unwell), 1)
 	want(t, "room that they take", j.live, int64(slack))
 }
+
+func want[T comparable](t *testing.T, what string, got, want T) {
+	t.Helper()
+	if got != want {
+		t.Errorf("%s: %v, want %v", what, got, want)
+	}
+}
--- a/internal/relay/admin.go
+++ b/internal/relay/admin.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"larchrouter/choice"
+	"larchrouter/internal/journal"
 )
 
 // The second address is for the operators and their tools. It has a server of its own, apart from
@@ -80,7 +81,7 @@
 var errHandedOver = errors.New("handed over to the next process")
 
 // isOut tells whether operators took an endpoint out.
-func (r *Relay) isOut(id string) bool { return r.journal.byHand[id].Ran }
+func (r *Relay) isOut(id string) bool { return r.journal.Out(id) }
 
 // byHand does what operators ask for an endpoint. Asking twice is as good as once. It is recorded
 // first: what they were told outlasts the process.
@@ -95,7 +96,7 @@
 	case h == nil && !r.isOut(id):
 		return errNoHost
 	}
-	if err := r.journal.append(record{Op: opByHand, ID: id, Ran: out, At: time.Now().UnixMilli()}); err != nil {
+	if err := r.journal.Append(journal.Record{Op: journal.OpByHand, ID: id, Ran: out, At: time.Now().UnixMilli()}); err != nil {
 		slog.Error("not taken out or given back", "endpoint", id, "err", err)
 		return err
 	}
--- a/internal/relay/calls_test.go
+++ b/internal/relay/calls_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"larchrouter/choice"
+	"larchrouter/internal/journal"
 	"larchrouter/internal/settings"
 )
 
@@ -149,7 +150,7 @@
 	}
 	c := &call{host: &host{addr: s.Listener.Addr().String(), waiting: &waiting{}}}
 	for id, due := range map[string]time.Duration{"short": 10 * time.Millisecond, "long": time.Hour} {
-		c.members = append(c.members, &message{entry: &entry{ID: id}, due: due})
+		c.members = append(c.members, &message{Entry: &journal.Entry{ID: id}, due: due})
 		c.sends = append(c.sends, choice.Send{ID: id, Timeout: 20 * time.Second})
 	}
 	r.start(c)
@@ -284,7 +285,7 @@
 	c := &call{host: &host{addr: s.Listener.Addr().String(), waiting: &waiting{}}}
 	ids := []string{"a", "b", "c", "d", "e", "f"}
 	for _, id := range ids {
-		c.members = append(c.members, &message{entry: &entry{ID: id, Key: strings.Repeat("k", len(c.members)), Body: []byte("\r\n" + id)},
+		c.members = append(c.members, &message{Entry: &journal.Entry{ID: id, Key: strings.Repeat("k", len(c.members)), Body: []byte("\r\n" + id)},
 			due: time.Hour, over: true})
 		c.sends = append(c.sends, choice.Send{ID: id, Timeout: 20 * time.Second})
 	}
@@ -333,7 +334,7 @@
 		r := caller()
 		r.set.Store(&standing{Settings: settings.Settings{ReportFields: []string{"x1", "x0"}}})
 		r.calls, r.inbox = context.Background(), make(chan func(), 1)
-		m := &message{entry: &entry{ID: "m1"}, due: time.Hour, over: true}
+		m := &message{Entry: &journal.Entry{ID: "m1"}, due: time.Hour, over: true}
 		r.start(&call{host: &host{addr: s.Listener.Addr().String(), waiting: &waiting{}}, members: []*message{m},
 			sends: []choice.Send{{ID: "m1", Timeout: 20 * time.Second}}})
 		(<-r.inbox)()
@@ -348,14 +349,16 @@
 func TestLargeMessagesDoNotShareACall(t *testing.T) {
 	r := caller()
 	r.began, r.inbox, r.calls = time.Now(), make(chan func(), 10), context.Background()
-	r.journal = open(t, t.TempDir(), 3e6)
+	r.journal = openJournal(t)
 	h := &host{id: "s-1", addr: "127.0.0.1:1", dest: 7, perCall: 5, waiting: &waiting{}}
 	r.hosts, r.held = map[string]*host{"s-1": h}, map[string]*message{}
 	var sends []choice.Send
 	for i, size := range []int{maxBody, maxBody / 2, 10} {
 		id := fmt.Sprint("m", i)
-		put(t, r.journal, taken(id, size))
-		r.held[id] = &message{entry: r.journal.entries[id], due: time.Hour}
+		if err := r.journal.Append(journal.Record{Op: journal.OpTaken, Entry: &journal.Entry{ID: id, Class: "payment", Dest: 7, Due: 99, Body: make([]byte, size)}}); err != nil {
+			t.Fatal(err)
+		}
+		r.held[id] = &message{Entry: r.journal.Entry(id), due: time.Hour}
 		sends = append(sends, choice.Send{ID: id, Host: "s-1", Timeout: time.Minute})
 	}
 	r.dispatch(sends)
--- a/internal/relay/cost_test.go
+++ b/internal/relay/cost_test.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"larchrouter/choice"
+	"larchrouter/internal/journal"
 )
 
 // What a message costs on the whole path, from the client's connection to its end in the journal, with
@@ -169,7 +170,7 @@
 // journalSize is what the journal has grown to.
 func (c *costRig) journalSize() int64 {
 	size := make(chan int64, 1)
-	c.r.post(func() { size <- c.r.journal.size })
+	c.r.post(func() { size <- c.r.journal.Size() })
 	return <-size
 }
 
@@ -178,7 +179,7 @@
 	c.r.post(func() {
 		for range n {
 			c.n++
-			e := &entry{ID: fmt.Sprint("together-", c.n), Class: "job-order", Key: fmt.Sprint("key-", c.n), Dest: 7,
+			e := &journal.Entry{ID: fmt.Sprint("together-", c.n), Class: "job-order", Key: fmt.Sprint("key-", c.n), Dest: 7,
 				Due: time.Now().Add(15 * time.Second).UnixMilli(), Body: c.body}
 			c.r.take(&intake{entry: e, due: c.r.now() + 15*time.Second, ctx: context.Background(), reply: make(chan answer, 1)})
 		}
@@ -227,7 +228,7 @@
 	b.Run("refused", func(b *testing.B) {
 		c := newCostRig(b, 200, func(c *Config) { c.Settings.MaxHeld = 1 })
 		full := make(chan struct{})
-		c.r.post(func() { c.r.held["one"] = &message{entry: &entry{ID: "one"}}; close(full) })
+		c.r.post(func() { c.r.held["one"] = &message{Entry: &journal.Entry{ID: "one"}}; close(full) })
 		<-full
 		c.held = 1
 		measure(b, c, 1, func() {
@@ -247,27 +248,27 @@
 // BenchmarkRestore is what a start takes to take up what the process before it held.
 func BenchmarkRestore(b *testing.B) {
 	dir := b.TempDir()
-	j, err := openJournal(dir, 64e6)
+	j, err := journal.Open(dir, 64e6)
 	if err != nil {
 		b.Fatal(err)
 	}
 	terms := &choice.Terms{Class: choice.Class{Name: "job-order", Aim: 2 * time.Second, Deadline: 16 * time.Second, Worth: 1,
 		LateShare: 0.3, Effect: choice.Keyed, SameZone: true, Window: 15 * time.Second}, Attempts: 6}
 	for i := range 500 {
-		e := &entry{ID: fmt.Sprintf("9b1f03aa5c7e%08d", i), Class: "job-order", Dest: 7, Tenant: "acme", Key: fmt.Sprintf("5c0f%08d", i),
+		e := &journal.Entry{ID: fmt.Sprintf("9b1f03aa5c7e%08d", i), Class: "job-order", Dest: 7, Tenant: "acme", Key: fmt.Sprintf("5c0f%08d", i),
 			Due: time.Now().Add(time.Hour).UnixMilli(), Body: bytes.Repeat([]byte("x"), 200), Terms: terms}
-		if err := j.append(record{Op: opTaken, Entry: e}, record{Op: opTry, ID: e.ID, At: 1, Wait: 2000}); err != nil {
+		if err := j.Append(journal.Record{Op: journal.OpTaken, Entry: e}, journal.Record{Op: journal.OpTry, ID: e.ID, At: 1, Wait: 2000}); err != nil {
 			b.Fatal(err)
 		}
 	}
-	j.f.Close()
+	j.Close()
 	b.ReportAllocs()
 	for b.Loop() {
-		j, err := openJournal(dir, 64e6)
-		if err != nil || len(j.entries) != 500 {
-			b.Fatal(len(j.entries), err)
+		j, err := journal.Open(dir, 64e6)
+		if err != nil || j.Len() != 500 {
+			b.Fatal(j.Len(), err)
 		}
-		j.f.Close()
+		j.Close()
 	}
 }
 
@@ -414,8 +415,8 @@
 
 // Guards against a size that is not that of the frame: a body over 64 KiB would go out, or one too short.
 func TestFrameSize(t *testing.T) {
-	for _, m := range []*message{{entry: &entry{ID: "a"}}, {entry: &entry{ID: "abc", Key: "k", Body: []byte("hello")}},
-		{entry: &entry{ID: "a", Body: make([]byte, 10)}}, {entry: &entry{ID: "a", Key: "key", Body: make([]byte, maxBody)}}} {
+	for _, m := range []*message{{Entry: &journal.Entry{ID: "a"}}, {Entry: &journal.Entry{ID: "abc", Key: "k", Body: []byte("hello")}},
+		{Entry: &journal.Entry{ID: "a", Body: make([]byte, 10)}}, {Entry: &journal.Entry{ID: "a", Key: "key", Body: make([]byte, maxBody)}}} {
 		want(t, "size", frameSize(m), len(appendFrame(nil, m)))
 	}
 }
--- a/internal/relay/handover.go
+++ b/internal/relay/handover.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"larchrouter/choice"
+	"larchrouter/internal/journal"
 )
 
 // The hand-over to the next process of this relay, while clients come. The next process asks for it
@@ -54,10 +55,10 @@
 
 // passed is what the process that handed over goes on to tell.
 type passed struct {
-	N    int64         `json:"n,omitempty"`
-	Take *entry        `json:"take,omitempty"` // a client's message, to be answered under N
-	Left time.Duration `json:"left,omitempty"`
-	End  *endPassed    `json:"end,omitempty"`
+	N    int64          `json:"n,omitempty"`
+	Take *journal.Entry `json:"take,omitempty"` // a client's message, to be answered under N
+	Left time.Duration  `json:"left,omitempty"`
+	End  *endPassed     `json:"end,omitempty"`
 }
 
 type endPassed struct {
@@ -202,8 +203,8 @@
 	if err != nil {
 		slog.Error("not handed over", "err", err)
 		conn.Close()
-		if err := r.journal.compact(); err != nil { // the next process may have replaced the file
-			r.journal.broken = err
+		if err := r.journal.Compact(); err != nil { // the next process may have replaced the file
+			r.journal.Break(err)
 			slog.Error("journal lost in a hand-over", "err", err)
 		}
 		return
@@ -213,7 +214,7 @@
 	r.figures.hold(0, 0, 0) // they are the next process's
 	r.passedAt.Store(time.Now().UnixNano())
 	r.records, r.untold = nil, nil
-	r.journal.f.Close()
+	r.journal.Close()
 	r.heirs.Close()
 	r.endPlatform()
 	r.tcp.Close()                            // the next process has the socket, and all in its queue
--- a/internal/relay/handover_test.go
+++ b/internal/relay/handover_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"larchrouter/choice"
+	"larchrouter/internal/journal"
 )
 
 // upgrade starts the next process of a relay beside it.
@@ -131,11 +132,11 @@
 			t.Fatal(err)
 		}
 		if says == handoverHello { // it replaces the journal, as it would, and dies
-			j, err := openJournal(old.conf.State, 3e6)
+			j, err := journal.Open(old.conf.State, 3e6)
 			if err != nil {
 				t.Fatal(err)
 			}
-			j.f.Close()
+			j.Close()
 		}
 		conn.Close()
 		id := fmt.Sprint("m", i)
@@ -191,7 +192,7 @@
 // Guards against hosts that are taken for broken because a process of this relay ended.
 func TestCallsOfAProcessThatEndedAreCalledOff(t *testing.T) {
 	c := &call{host: &host{id: "s-1"}, began: time.Now().Add(-time.Minute)}
-	m := &message{entry: &entry{ID: "m1"}, call: c}
+	m := &message{Entry: &journal.Entry{ID: "m1"}, call: c}
 	h := &heritage{calls: map[string]*call{"m1": c}}
 	r := &Relay{heritage: h, held: map[string]*message{"m1": m}}
 	r.orphaned(h)
@@ -199,6 +200,6 @@
 	e := r.events[0].(choice.Result)
 	want(t, "outcome", e.Outcome, choice.Cancelled)
 	want(t, "took", e.Took >= time.Minute, true)
-	want(t, "it may have run", r.records[0], record{Op: opOutcome, ID: "m1", Ran: true})
+	want(t, "it may have run", r.records[0], journal.Record{Op: journal.OpOutcome, ID: "m1", Ran: true})
 	want(t, "calls left", len(h.calls), 0)
 }
--- a/internal/relay/intake.go
+++ b/internal/relay/intake.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"larchrouter/choice"
+	"larchrouter/internal/journal"
 )
 
 const (
@@ -26,7 +27,7 @@
 
 // intake is a message that waits for the answer whether it is taken on.
 type intake struct {
-	entry *entry
+	entry *journal.Entry
 	due   time.Duration
 	ctx   context.Context // of the client's request
 	reply chan answer
@@ -116,7 +117,7 @@
 // read checks a request; its error is the client's.
 func (r *Relay) read(w http.ResponseWriter, req *http.Request, came time.Duration) (*intake, int, error) {
 	bad := func(text string) (*intake, int, error) { return nil, http.StatusBadRequest, errors.New(text) }
-	e := &entry{ID: req.Header.Get("X-Request-Id"), Class: req.Header.Get("X-Class"),
+	e := &journal.Entry{ID: req.Header.Get("X-Request-Id"), Class: req.Header.Get("X-Class"),
 		Key: req.Header.Get("Idempotency-Key"), Tenant: req.Header.Get("X-Tenant")}
 	if !isName(e.ID) {
 		return bad("X-Request-Id is missing or malformed")
@@ -151,7 +152,7 @@
 }
 
 // admit finds the class of a message, and tells what its class wants of it.
-func admit(set *standing, e *entry, now time.Duration) (class int, err error) {
+func admit(set *standing, e *journal.Entry, now time.Duration) (class int, err error) {
 	class = set.class(e.Class, now)
 	switch {
 	case class < 0:
@@ -208,7 +209,7 @@
 		in.reply <- refuse
 	default:
 		in.entry.Terms = &choice.Terms{Class: set.Classes[class], Attempts: set.MaxAttempts}
-		m := &message{entry: in.entry, due: in.due, fresh: []*intake{in}}
+		m := &message{Entry: in.entry, due: in.due, fresh: []*intake{in}}
 		r.held[id] = m
 		r.fresh = append(r.fresh, m)
 		r.events = append(r.events, choice.Arrival{ID: id, Class: class, Dest: in.entry.Dest,
@@ -225,7 +226,7 @@
 		return false
 	}
 	r.events = append(r.events, choice.Withdrawn{ID: id})
-	r.record(record{Op: opEnd, ID: id})
+	r.record(journal.Record{Op: journal.OpEnd, ID: id})
 	m.over = true
 	delete(r.held, id)
 	return true
--- a/internal/relay/notices.go
+++ b/internal/relay/notices.go
@@ -8,6 +8,8 @@
 	"log/slog"
 	"net/http"
 	"time"
+
+	"larchrouter/internal/journal"
 )
 
 // How a message that was taken on ended undelivered.
@@ -47,7 +49,7 @@
 		}
 		r.post(func() {
 			for _, n := range batch {
-				r.record(record{Op: opEnd, ID: n.ID})
+				r.record(journal.Record{Op: journal.OpEnd, ID: n.ID})
 			}
 			r.owed -= len(batch)
 		})
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"net"
 	"net/http"
@@ -18,18 +19,20 @@
 	"time"
 
 	"larchrouter/choice"
+	"larchrouter/internal/journal"
 )
 
 const (
 	batchMost = 256
 	maxOwed   = 8192
-	// forgetUnwell is when an outage last heard of is over for a restarted relay.
-	forgetUnwell = 5 * time.Minute
 )
 
+// errUnwritten says that earlier records still wait to be written.
+var errUnwritten = errors.New("journal: earlier records are not written yet")
+
 // message is one that this relay owes its end.
 type message struct {
-	*entry
+	*journal.Entry
 	due   time.Duration
 	call  *call     // out now
 	fresh []*intake // its client still waits for an answer; more than one if it sent it twice
@@ -68,14 +71,14 @@
 	figures   figures
 
 	chooser *choice.Chooser
-	journal *journal
+	journal *journal.Journal
 	held    map[string]*message
 	past    recent
 	hosts   map[string]*host
 	dests   map[int]*waiting // ever listed
 	events  []choice.Event
 	fresh   []*message
-	records []record
+	records []journal.Record
 	untold  []notice // go out once they are recorded
 	wake    *time.Timer
 	wakeAt  time.Duration
@@ -139,7 +142,7 @@
 	if r.chooser, err = choice.New(set.Settings, conf.Seed); err != nil {
 		return nil, err
 	}
-	if r.journal, err = openJournal(conf.State, int64(conf.DiskMB*1e6)); err != nil {
+	if r.journal, err = journal.Open(conf.State, int64(conf.DiskMB*1e6)); err != nil {
 		return nil, err
 	}
 	r.listener = newPeers(r.tcp, conf.Sockets/2)
@@ -333,25 +336,22 @@
 func (r *Relay) restore() {
 	wall := time.Now().UnixMilli()
 	ms := func(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
-	for _, id := range r.journal.order {
-		e := r.journal.entries[id]
-		if e == nil {
-			continue
-		}
+	for e := range r.journal.All() {
+		id := e.ID
 		if e.Status != "" {
 			r.owe(notice{e.ID, e.Status, e.Again})
 			continue
 		}
 		if e.Out && r.heritage.callOf(id) == nil {
 			// The process died before the outcome was recorded: it may have run.
-			r.record(record{Op: opOutcome, ID: id, Ran: true})
+			r.record(journal.Record{Op: journal.OpOutcome, ID: id, Ran: true})
 		}
 		class := r.set.Load().class(e.Class, 0)
 		if class < 0 && e.Terms == nil { // taken on by a version that did not record them
-			r.give(&message{entry: e}, notice{e.ID, undeliverable, 0})
+			r.give(&message{Entry: e}, notice{e.ID, undeliverable, 0})
 			continue
 		}
-		m := &message{entry: e, due: r.now() + ms(e.Due-wall)}
+		m := &message{Entry: e, due: r.now() + ms(e.Due-wall)}
 		r.held[id] = m
 		adopted := r.heritage.callOf(id)
 		ev := choice.Restored{Arrival: choice.Arrival{ID: id, Class: class, Dest: e.Dest, Left: ms(e.Due - wall),
@@ -365,19 +365,19 @@
 		}
 		r.events = append(r.events, ev)
 	}
-	for id, s := range r.journal.unwell {
+	for id, s := range r.journal.Unwell() {
 		if r.heritage != nil { // the decisions remember more
 			break
 		}
 		r.events = append(r.events, choice.Unwell{Host: id, Base: s.Base})
 	}
-	for id, h := range r.journal.byHand {
+	for id, h := range r.journal.ByHand() {
 		r.events = append(r.events, choice.ByHand{Host: id, Out: h.Ran, Ago: ms(max(1, wall-h.At))})
 	}
 	slog.Info("journal replayed", "held", len(r.held), "owed", r.owed)
 }
 
-func (r *Relay) record(rec record) { r.records = append(r.records, rec) }
+func (r *Relay) record(rec journal.Record) { r.records = append(r.records, rec) }
 
 // owe has a notice told once what it says is recorded.
 func (r *Relay) owe(n notice) {
@@ -387,7 +387,7 @@
 
 // give ends a message undelivered.
 func (r *Relay) give(m *message, n notice) {
-	r.record(record{Op: opNotice, ID: m.ID, Status: n.Status, Again: n.Again})
+	r.record(journal.Record{Op: journal.OpNotice, ID: m.ID, Status: n.Status, Again: n.Again})
 	how := refusedEnd
 	if n.Status == undeliverable {
 		how = failedEnd
@@ -412,7 +412,7 @@
 		return // the journal is the next process's
 	}
 	if len(r.records) > 0 {
-		if err := r.journal.append(r.records...); err != nil {
+		if err := r.journal.Append(r.records...); err != nil {
 			slog.Error("not recorded", "records", len(r.records), "err", err)
 			time.AfterFunc(longPause, func() { r.post(func() {}) })
 			return
@@ -470,7 +470,7 @@
 			r.arm(now, a.After)
 		case choice.Health:
 			r.recount = true
-			r.record(record{Op: opHealth, ID: a.Host, Ran: a.Unwell, Base: a.Base, At: time.Now().UnixMilli()})
+			r.record(journal.Record{Op: journal.OpHealth, ID: a.Host, Ran: a.Unwell, Base: a.Base, At: time.Now().UnixMilli()})
 		case choice.Log:
 			r.recount = true
 			slog.Info(a.Text)
@@ -482,7 +482,7 @@
 			continue
 		}
 		// Only what is in the journal is taken on.
-		if err := r.journal.append(record{Op: opTaken, Entry: m.entry}); err != nil {
+		if err := r.journal.Append(journal.Record{Op: journal.OpTaken, Entry: m.Entry}); err != nil {
 			slog.Error("message not taken on", "err", err)
 			r.events = append(r.events, choice.Withdrawn{ID: m.ID})
 			r.refuse(m, comeBack)
@@ -553,15 +553,15 @@
 		c.members, c.sends = append(c.members, m), append(c.sends, s)
 	}
 	for _, c := range calls {
-		var recs []record
+		var recs []journal.Record
 		for i, m := range c.members {
-			recs = append(recs, record{Op: opTry, ID: m.ID, At: wall, Wait: c.sends[i].Timeout.Milliseconds(), Zone: c.host.zone})
+			recs = append(recs, journal.Record{Op: journal.OpTry, ID: m.ID, At: wall, Wait: c.sends[i].Timeout.Milliseconds(), Zone: c.host.zone})
 		}
 		// An attempt that a restart would not know of must not go out, nor one whose record
 		// would come before an outcome that could not be written yet.
 		err := errUnwritten
 		if len(r.records) == 0 {
-			err = r.journal.append(recs...)
+			err = r.journal.Append(recs...)
 		}
 		if err != nil {
 			slog.Error("attempts not sent", "err", err)
@@ -596,10 +596,10 @@
 			how = failedEnd
 		}
 		r.figures.ended(m.Class, how)
-		r.record(record{Op: opEnd, ID: m.ID})
+		r.record(journal.Record{Op: journal.OpEnd, ID: m.ID})
 		r.drop(m)
 		return
 	}
 	never := e.outcome == choice.Refused || e.outcome == choice.NoConnection || e.outcome == choice.NotSent
-	r.record(record{Op: opOutcome, ID: m.ID, Ran: !never})
+	r.record(journal.Record{Op: journal.OpOutcome, ID: m.ID, Ran: !never})
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -21,6 +21,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"larchrouter/internal/journal"
 )
 
 const testSettings = `{"bounds":{"cancel":true,"conn-idle":5,"dial-timeout":1,"max-attempts":6,"max-retry-after":2,"most-held":50},
@@ -252,7 +254,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
 	held := make(chan int, 1)
-	in := &intake{entry: &entry{ID: "m1", Class: "payment", Dest: 7}, due: r.now() + time.Second, ctx: ctx,
+	in := &intake{entry: &journal.Entry{ID: "m1", Class: "payment", Dest: 7}, due: r.now() + time.Second, ctx: ctx,
 		reply: make(chan answer, 1)}
 	r.post(func() { r.take(in); held <- len(r.held) })
 	want(t, "messages held", wait(t, held, "count"), 0)
@@ -301,7 +303,7 @@
 	held := make(chan int, 1)
 	r.post(func() {
 		for _, id := range []string{"once", "twice"} {
-			r.held[id] = &message{entry: &entry{ID: id}, twice: id == "twice"}
+			r.held[id] = &message{Entry: &journal.Entry{ID: id}, twice: id == "twice"}
 			r.withdraw(id)
 		}
 		held <- len(r.held)
@@ -434,11 +436,23 @@
 	}
 }
 
+func openJournal(t *testing.T) *journal.Journal {
+	t.Helper()
+	j, err := journal.Open(t.TempDir(), 3e6)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { j.Close() })
+	return j
+}
+
 // Guards against calls held back, or let through, by a whole list: it closes just the hosts it leaves out.
 func TestWholeListClosesWhatIsMissing(t *testing.T) {
-	r := &Relay{hosts: map[string]*host{}, dests: map[int]*waiting{}, journal: &journal{}}
+	r := &Relay{hosts: map[string]*host{}, dests: map[int]*waiting{}, journal: openJournal(t)}
 	r.set.Store(&standing{})
-	r.journal.byHand = map[string]record{"s-4": {Ran: true}}
+	if err := r.journal.Append(journal.Record{Op: journal.OpByHand, ID: "s-4", Ran: true}); err != nil {
+		t.Fatal(err)
+	}
 	r.listed(list{1, true, []server{at("s-1", "x:1", "taller"), at("s-2", "x:2", "taller"), at("s-3", "x:3", "taller")}})
 	one, two, three := r.hosts["s-1"], r.hosts["s-2"], r.hosts["s-3"]
 	r.listed(list{2, true, []server{at("s-1", "x:1", "taller"), at("s-3", "x:9", "taller")}})
@@ -458,13 +472,13 @@
 	r := startRelay(t, newPlatform(t, at("s-1", fakeHost(t, "a", calls), "taller")), nil)
 	set := make(chan bool)
 	r.post(func() {
-		r.journal.broken = errors.New("disk gone")
+		r.journal.Break(errors.New("disk gone"))
 		close(set)
 	})
 	<-set
 	status, _ := hand(t, r.Addr(), "m1", "payment")
 	want(t, "status", status, 503)
-	r.post(func() { r.journal.broken = nil })
+	r.post(func() { r.journal.Compact() })
 	status, _ = hand(t, r.Addr(), "m2", "payment")
 	want(t, "status", status, 202)
 	c := wait(t, calls, "call")
@@ -495,7 +509,7 @@
 	want(t, "notice", n, notice{"m1", undeliverable, 0})
 	owed := make(chan int)
 	for {
-		r.post(func() { owed <- r.owed + len(r.journal.entries) })
+		r.post(func() { owed <- r.owed + r.journal.Len() })
 		if wait(t, owed, "count") == 0 {
 			break
 		}
@@ -704,16 +718,16 @@
 		calls := make(chan *seen, 10)
 		p := newPlatform(t, at("s-1", fakeHost(t, "a", calls), "taller"))
 		startRelay(t, p, func(conf *Config) {
-			j, err := openJournal(conf.State, 3e6)
+			j, err := journal.Open(conf.State, 3e6)
 			if err != nil {
 				t.Fatal(err)
 			}
 			past := time.Now().Add(-time.Second).UnixMilli()
-			recs := []record{{Op: opTaken, Entry: &entry{ID: "m1", Class: c.class, Dest: 7, Due: past}}}
+			recs := []journal.Record{{Op: journal.OpTaken, Entry: &journal.Entry{ID: "m1", Class: c.class, Dest: 7, Due: past}}}
 			if c.tried {
-				recs = append(recs, record{Op: opTry, ID: "m1", At: past})
+				recs = append(recs, journal.Record{Op: journal.OpTry, ID: "m1", At: past})
 			}
-			if err := j.append(recs...); err != nil {
+			if err := j.Append(recs...); err != nil {
 				t.Fatal(err)
 			}
 		})
@@ -850,3 +864,18 @@
 	want(t, "notice", wait(t, p.notices, "notice"), notice{"m1", undeliverable, 0})
 	want(t, "further calls", len(calls), 0)
 }
+
+// Guards against a refusal that becomes a crash: a relay whose disk is full answers 503 and goes on.
+func TestFullDiskRefuses(t *testing.T) {
+	calls := make(chan *seen, 10)
+	r := startRelay(t, newPlatform(t, at("s-1", fakeHost(t, "a", calls), "taller")), nil)
+	r.post(func() { r.journal.Break(journal.ErrFull) })
+	status, _ := hand(t, r.Addr(), "m1", "payment")
+	want(t, "status", status, 503)
+	r.post(func() { r.journal.Compact() })
+	status, _ = hand(t, r.Addr(), "m2", "payment")
+	want(t, "status", status, 202)
+	c := wait(t, calls, "call")
+	want(t, "id", c.id, "m2")
+	c.answer <- 200
+}
