discovery: the list's followers as sources in a package of their own; no change of behaviour

Need: the list is to come from keepers as well as from the platform's discovery, behind one interface.

Change: list, address, pauses and watches move to internal/discovery; the relay follows a Source and is told of lists. What it does with them stays, in internal/relay/hosts.go.

--- a/internal/relay/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -1,4 +1,4 @@
-package relay
+package discovery
 
 import (
 	"context"
@@ -10,9 +10,6 @@
 	"testing"
 	"testing/synctest"
 	"time"
-
-	"larchrouter/choice"
-	"larchrouter/internal/settings"
 )
 
 // Guards against a malformed list that takes all endpoints away, or sends messages nowhere.
@@ -31,8 +28,7 @@
 		`nothing`: false,
 	} {
 		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, body) }))
-		r := &Relay{platform: http.DefaultClient}
-		r.set.Store(&standing{})
+		r := &Platform{Client: http.DefaultClient}
 		_, err := r.ask(context.Background(), context.Background(), s.Listener.Addr().String(), 1, true)
 		s.Close()
 		if (err == nil) != sound {
@@ -60,14 +56,12 @@
 	for _, body := range []string{`{"version":1,"servers":[]}`, `{"version":0,"servers":[]}`} {
 		synctest.Test(t, func(t *testing.T) {
 			said := &answers{body: body}
-			r := &Relay{platform: &http.Client{Transport: said}, discovery: newPlatformAt("discovery:1"),
-				inbox: make(chan func(), 10)}
-			r.set.Store(&standing{Settings: settings.Settings{Settings: choice.Settings{Fleet: 2}}})
+			r := &Platform{Client: &http.Client{Transport: said}, At: NewAt("discovery:1"), Fleet: func() Fleet { return Fleet{Size: 2} }, Version: 1}
 			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 			defer cancel()
 			said.enough = cancel
-			r.follow(ctx, 1)
-			if most := int(2*time.Second/firstPause) + 1; said.asked > most {
+			r.Follow(ctx, func(List) {})
+			if most := int(2*time.Second/FirstPause) + 1; said.asked > most {
 				t.Errorf("%s: asked %d times in a second, want %d at most", body, said.asked, most)
 			}
 		})
@@ -105,14 +99,14 @@
 	defer cancel()
 	var all sync.WaitGroup
 	for i := range fleet {
-		r := &Relay{platform: &http.Client{Transport: c}, discovery: newPlatformAt("discovery:1"), inbox: make(chan func(), 100),
-			conf: Config{Seed: uint64(i), Known: list{Full: true}}}
-		r.set.Store(&standing{Settings: settings.Settings{Settings: choice.Settings{Fleet: fleet}, AskWithin: 10 * time.Second}})
+		r := &Platform{Client: &http.Client{Transport: c}, At: NewAt("discovery:1"), Seed: uint64(i), Known: true,
+			Fleet: func() Fleet { return Fleet{fleet, 10 * time.Second} }}
 		all.Go(func() {
-			r.follow(ctx, 0)
+			n := 0
+			r.Follow(ctx, func(List) { n++ })
 			c.mu.Lock()
 			defer c.mu.Unlock()
-			taken += len(r.inbox)
+			taken += n
 		})
 	}
 	all.Wait()
@@ -155,13 +149,16 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
 		c.began, c.calls = time.Now(), map[int]int{}
-		r := &Relay{platform: &http.Client{Transport: c}, discovery: newPlatformAt("discovery:1"), inbox: make(chan func()),
-			quit: make(chan struct{})}
-		defer close(r.quit)
-		r.set.Store(&standing{Settings: settings.Settings{Settings: choice.Settings{Fleet: 2}, AskWithin: 10 * time.Second}})
-		go r.follow(ctx, 0)
+		r := &Platform{Client: &http.Client{Transport: c}, At: NewAt("discovery:1"), Fleet: func() Fleet { return Fleet{2, 10 * time.Second} }}
+		told := make(chan List)
+		go r.Follow(ctx, func(l List) {
+			select {
+			case told <- l:
+			case <-ctx.Done():
+			}
+		})
 		for range 100 { // as many as are taken up; an empty clock moves for pauses alone
-			<-r.inbox
+			<-told
 		}
 		c.mu.Lock()
 		defer c.mu.Unlock()
--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -7,6 +7,7 @@
 	"os"
 	"strconv"
 
+	"larchrouter/internal/discovery"
 	"larchrouter/internal/settings"
 )
 
@@ -22,7 +23,7 @@
 	MemoryMB  float64
 	Sockets   int
 	DiskMB    float64
-	Known     list
+	Known     discovery.List
 	Settings  settings.Settings
 
 	whole []byte // the file, against which the next one is checked
@@ -41,7 +42,7 @@
 		Sockets  int     `json:"sockets"`
 		DiskMB   float64 `json:"disk_mb"`
 	} `json:"limits"`
-	Known    list            `json:"known"`
+	Known    discovery.List  `json:"known"`
 	Settings json.RawMessage `json:"settings"`
 }
 
--- a/internal/relay/cost_test.go
+++ b/internal/relay/cost_test.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"larchrouter/choice"
+	"larchrouter/internal/discovery"
 	"larchrouter/internal/journal"
 )
 
@@ -105,7 +106,7 @@
 	n    int
 }
 
-func newCostRig(tb testing.TB, bodySize int, change func(*Config), more ...server) *costRig {
+func newCostRig(tb testing.TB, bodySize int, change func(*Config), more ...discovery.Server) *costRig {
 	tb.Helper()
 	log := slog.Default()
 	slog.SetDefault(slog.New(slog.DiscardHandler))
@@ -334,10 +335,10 @@
 }
 
 // longList is a list of so many endpoints.
-func longList(n int) list {
-	l := list{Version: 9, Full: true}
+func longList(n int) discovery.List {
+	l := discovery.List{Version: 9, Full: true}
 	for i := range n {
-		l.Servers = append(l.Servers, server{ID: fmt.Sprintf("s-%08x", i), Addr: fmt.Sprintf("127.0.0.1:%d", 1024+i%60000), Zone: "taller",
+		l.Servers = append(l.Servers, discovery.Server{ID: fmt.Sprintf("s-%08x", i), Addr: fmt.Sprintf("127.0.0.1:%d", 1024+i%60000), Zone: "taller",
 			Kind: "customer-system", Cell: 100 + i/2, State: "active", Weight: 10})
 	}
 	return l
--- a/internal/relay/handover.go
+++ b/internal/relay/handover.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"larchrouter/choice"
+	"larchrouter/internal/discovery"
 	"larchrouter/internal/journal"
 )
 
@@ -37,13 +38,13 @@
 
 // estate is what the next process needs besides the journal.
 type estate struct {
-	Version int64         `json:"version"`
-	Servers []server      `json:"servers"`
-	Gone    []server      `json:"gone"` // no longer listed, but with calls out
-	Memory  choice.Memory `json:"memory"`
-	Calls   []callOut     `json:"calls"`
-	Past    []string      `json:"past"`  // ids that ended not long ago
-	Peers   int           `json:"peers"` // connections that clients have here
+	Version int64              `json:"version"`
+	Servers []discovery.Server `json:"servers"`
+	Gone    []discovery.Server `json:"gone"` // no longer listed, but with calls out
+	Memory  choice.Memory      `json:"memory"`
+	Calls   []callOut          `json:"calls"`
+	Past    []string           `json:"past"`  // ids that ended not long ago
+	Peers   int                `json:"peers"` // connections that clients have here
 }
 
 // callOut is a call that runs on in the process that handed over.
--- a/internal/relay/notices.go
+++ b/internal/relay/notices.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"time"
 
+	"larchrouter/internal/discovery"
 	"larchrouter/internal/journal"
 )
 
@@ -33,7 +34,7 @@
 func (r *Relay) tell(ctx context.Context) {
 	for {
 		batch := r.nextNotices(ctx)
-		for pause := firstPause; ; pause = min(2*pause, longPause) {
+		for pause := discovery.FirstPause; ; pause = min(2*pause, discovery.LongPause) {
 			if ctx.Err() != nil {
 				return
 			}
@@ -88,7 +89,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, noticeIn)
 	defer cancel()
-	addr, _ := r.discovery.get()
+	addr, _ := r.platformAt.Get()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/status", &body)
 	if err != nil {
 		return err
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"larchrouter/choice"
+	"larchrouter/internal/discovery"
 	"larchrouter/internal/journal"
 )
 
@@ -57,18 +58,19 @@
 	tcp      *net.TCPListener // under listener
 	hostSide atomic.Pointer[http.Transport]
 	platform *http.Client
-	// discovery is where platform's requests go.
-	discovery *platformAt
-	calls     context.Context
-	endCalls  context.CancelCauseFunc
-	inbox     chan func()
-	notices   chan notice
-	quit      chan struct{}
-	once      sync.Once
-	admin     *http.Server // of the second address; nil where there is none
-	adminAt   net.Addr
-	ready     atomic.Bool // clients may come
-	figures   figures
+	// platformAt is where platform's requests go.
+	platformAt *discovery.At
+	list       discovery.Source // of the endpoints
+	calls      context.Context
+	endCalls   context.CancelCauseFunc
+	inbox      chan func()
+	notices    chan notice
+	quit       chan struct{}
+	once       sync.Once
+	admin      *http.Server // of the second address; nil where there is none
+	adminAt    net.Addr
+	ready      atomic.Bool // clients may come
+	figures    figures
 
 	chooser *choice.Chooser
 	journal *journal.Journal
@@ -106,11 +108,16 @@
 // New replays the journal and listens; Serve does the rest.
 func New(conf Config) (r *Relay, err error) {
 	set := conf.Settings
-	r = &Relay{conf: conf, zones: set.Zones, discovery: newPlatformAt(conf.Discovery), began: time.Now(),
+	r = &Relay{conf: conf, zones: set.Zones, platformAt: discovery.NewAt(conf.Discovery), began: time.Now(),
 		held: map[string]*message{}, hosts: map[string]*host{}, dests: map[int]*waiting{}, inbox: make(chan func(), 1024), notices: make(chan notice, 2*maxOwed),
 		quit: make(chan struct{}), wake: time.NewTimer(time.Hour)}
 	r.hostSide.Store(newTransport(&set, conf.Sockets/4, conf.Source))
 	r.platform = &http.Client{Transport: &http.Transport{DisableCompression: true, IdleConnTimeout: idleIn, DialContext: dialer(conf.Source, 0).DialContext}}
+	r.list = &discovery.Platform{Client: r.platform, At: r.platformAt, Seed: conf.Seed, Known: conf.Known.Full, Version: conf.Known.Version,
+		Fleet: func() discovery.Fleet {
+			set := r.set.Load()
+			return discovery.Fleet{Size: set.Fleet, AskWithin: set.AskWithin}
+		}}
 	r.calls, r.endCalls = context.WithCancelCause(context.Background())
 	r.set.Store((&standing{}).succeed(set, 0))
 	for _, k := range set.Classes {
@@ -150,13 +157,13 @@
 	if h := r.heritage; h != nil {
 		// Until the other process has ended the limit on sockets is for both.
 		r.listener.allow(max(conf.Sockets/8, conf.Sockets/2-h.Peers))
-		r.listed(list{h.Version, true, append(h.Servers, h.Gone...)})
+		r.listed(discovery.List{Version: h.Version, Full: true, Servers: append(h.Servers, h.Gone...)})
 		r.adopt(h)
 		r.restore()
 		for i := range h.Gone {
 			h.Gone[i].State = "left"
 		}
-		r.listed(list{Version: h.Version, Servers: h.Gone})
+		r.listed(discovery.List{Version: h.Version, Servers: h.Gone})
 		return r, h.accept()
 	}
 	if conf.Known.Full || len(conf.Known.Servers) > 0 {
@@ -196,7 +203,7 @@
 		r.attend(r.heritage)
 	}
 	r.awaitHeir()
-	go r.follow(ctx, r.conf.Known.Version)
+	go r.list.Follow(ctx, func(l discovery.List) { r.post(func() { r.listed(l) }) })
 	go r.tell(ctx)
 	go r.server.Serve(r.listener)
 	r.ready.Store(true)
@@ -414,7 +421,7 @@
 	if len(r.records) > 0 {
 		if err := r.journal.Append(r.records...); err != nil {
 			slog.Error("not recorded", "records", len(r.records), "err", err)
-			time.AfterFunc(longPause, func() { r.post(func() {}) })
+			time.AfterFunc(discovery.LongPause, func() { r.post(func() {}) })
 			return
 		}
 		r.records = r.records[:0]
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -22,6 +22,7 @@
 	"testing"
 	"time"
 
+	"larchrouter/internal/discovery"
 	"larchrouter/internal/journal"
 )
 
@@ -38,15 +39,15 @@
 type platform struct {
 	*httptest.Server
 	mu      sync.Mutex
-	now     list
+	now     discovery.List
 	changed chan struct{}
 	asked   chan string // raw queries, as far as a test reads them
 	notices chan notice
 	fail    int // so many POSTs are answered 500 first
 }
 
-func newPlatform(t testing.TB, servers ...server) *platform {
-	p := &platform{now: list{1, true, servers}, changed: make(chan struct{}), asked: make(chan string, 100),
+func newPlatform(t testing.TB, servers ...discovery.Server) *platform {
+	p := &platform{now: discovery.List{Version: 1, Full: true, Servers: servers}, changed: make(chan struct{}), asked: make(chan string, 100),
 		notices: make(chan notice, 100)}
 	p.Server = httptest.NewServer(http.HandlerFunc(p.serve))
 	t.Cleanup(p.CloseClientConnections)
@@ -95,10 +96,10 @@
 	json.NewEncoder(w).Encode(l)
 }
 
-func (p *platform) publish(version int64, full bool, servers ...server) {
+func (p *platform) publish(version int64, full bool, servers ...discovery.Server) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.now = list{version, full, servers}
+	p.now = discovery.List{Version: version, Full: full, Servers: servers}
 	close(p.changed)
 	p.changed = make(chan struct{})
 }
@@ -210,8 +211,8 @@
 	}
 }
 
-func at(id, addr, zone string) server {
-	return server{ID: id, Addr: addr, Zone: zone, Kind: "customer-system", Cell: 7, State: "active", Weight: 1}
+func at(id, addr, zone string) discovery.Server {
+	return discovery.Server{ID: id, Addr: addr, Zone: zone, Kind: "customer-system", Cell: 7, State: "active", Weight: 1}
 }
 
 func TestDeliversUnchanged(t *testing.T) {
@@ -453,12 +454,12 @@
 	if err := r.journal.Append(journal.Record{Op: journal.OpByHand, ID: "s-4", Ran: true}); err != nil {
 		t.Fatal(err)
 	}
-	r.listed(list{1, true, []server{at("s-1", "x:1", "taller"), at("s-2", "x:2", "taller"), at("s-3", "x:3", "taller")}})
+	r.listed(discovery.List{Version: 1, Full: true, Servers: []discovery.Server{at("s-1", "x:1", "taller"), at("s-2", "x:2", "taller"), at("s-3", "x:3", "taller")}})
 	one, two, three := r.hosts["s-1"], r.hosts["s-2"], r.hosts["s-3"]
-	r.listed(list{2, true, []server{at("s-1", "x:1", "taller"), at("s-3", "x:9", "taller")}})
-	r.listed(list{Version: 3, Servers: []server{at("s-4", "x:4", "taller")}})
+	r.listed(discovery.List{Version: 2, Full: true, Servers: []discovery.Server{at("s-1", "x:1", "taller"), at("s-3", "x:9", "taller")}})
+	r.listed(discovery.List{Version: 3, Servers: []discovery.Server{at("s-4", "x:4", "taller")}})
 	want(t, "the one that operators took out is closed", r.hosts["s-4"].closed.Load(), true)
-	r.listed(list{Version: 4, Servers: []server{at("s-4", "x:4", "taller")}})
+	r.listed(discovery.List{Version: 4, Servers: []discovery.Server{at("s-4", "x:4", "taller")}})
 	want(t, "the one that operators took out is closed", r.hosts["s-4"].closed.Load(), true)
 	want(t, "the one that stays is closed", one.closed.Load(), false)
 	want(t, "the one left out is closed", two.closed.Load(), true)
--- a/internal/relay/reload.go
+++ b/internal/relay/reload.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"larchrouter/choice"
+	"larchrouter/internal/discovery"
 	"larchrouter/internal/settings"
 )
 
@@ -49,12 +50,12 @@
 // address. On an error all stays as it was.
 func (r *Relay) Reload(env func(string) string) (err error) {
 	defer func() { r.figures.reloaded(err) }()
-	data, discovery, set, err := readNext(env, r.conf.whole)
+	data, platform, set, err := readNext(env, r.conf.whole)
 	if err != nil {
 		return err
 	}
 	done := make(chan error, 1)
-	r.post(func() { done <- r.retune(set, discovery) })
+	r.post(func() { done <- r.retune(set, platform) })
 	select {
 	case err = <-done:
 	case <-r.quit:
@@ -67,7 +68,7 @@
 }
 
 // retune puts new settings in force, in the loop. What is open keeps those that it came under.
-func (r *Relay) retune(set settings.Settings, discovery string) error {
+func (r *Relay) retune(set settings.Settings, platform string) error {
 	if r.heir != nil {
 		return errHandedOver
 	}
@@ -82,15 +83,15 @@
 		r.figures.declare(k.Name)
 	}
 	r.events = append(r.events, choice.Reconfigured{Settings: next.Settings.Settings})
-	l := list{Version: r.version, Full: true} // kinds may have got other numbers
+	l := discovery.List{Version: r.version, Full: true} // kinds may have got other numbers
 	for _, h := range r.hosts {
 		l.Servers = append(l.Servers, h.entry)
 	}
 	r.listed(l)
-	if old, _ := r.discovery.get(); discovery != old {
-		r.discovery.set(discovery)
+	if old, _ := r.platformAt.Get(); platform != old {
+		r.platformAt.Set(platform)
 		r.platform.CloseIdleConnections()
-		slog.Info("discovery has moved", "to", discovery)
+		slog.Info("discovery has moved", "to", platform)
 	}
 	return nil
 }
--- a/internal/relay/reload_test.go
+++ b/internal/relay/reload_test.go
@@ -53,7 +53,7 @@
 			t.Errorf("broken file %d is taken", n)
 		}
 	}
-	addr, _ := r.discovery.get()
+	addr, _ := r.platformAt.Get()
 	want(t, "discovery after broken files", addr, p.addr())
 	shows(t, r, "svc.reloads_ok=0", "svc.reloads_failed=8")
 	status, _ := hand(t, r.Addr(), "trapped", "trap")
