choice: event and settings types stand with the others, outside the policy files

Types of events are no decisions, and most stand in api.go already.

Change: ByHand, Restored, Unwell, Reconfigured, Terms and Tenant move there. No code that runs is touched.

--- a/choice/api.go
+++ b/choice/api.go
@@ -81,6 +81,11 @@
 	OverShare float64
 }
 
+// Tenant is one of those that share the service.
+type Tenant struct {
+	Quota float64 // messages a second within its share, over all relays
+}
+
 // Outcome is how an attempt ended.
 type Outcome int
 
@@ -156,6 +161,45 @@
 	Hosts  []Host
 }
 
+// Restored hands in a message that an earlier process of this relay had taken
+// on, with what is known of its attempts. An attempt whose outcome was never
+// recorded counts as one that may have run.
+type Restored struct {
+	Arrival
+	Attempts int           // used up
+	Timeout  time.Duration // of the last of them
+	Ran      bool          // one of them may have run
+	RanAgo   time.Duration // since the first such attempt went out
+	RanZone  int           // zone of its host
+	Terms    *Terms        // it came under; nil for those of its class as it is now
+	Out      *Running      // the last of them still runs, in the process that hands over; nil if none does
+}
+
+// Unwell says that an earlier process of this relay saw an outage at a host whose
+// end it did not see. It follows the first Listing.
+type Unwell struct {
+	Host string
+	Base float64 // as Health told it
+}
+
+// ByHand says that operators took an endpoint out, or gave it back. It holds whatever the list says
+// of that endpoint, before and after.
+type ByHand struct {
+	Host string
+	Out  bool
+	Ago  time.Duration // since they said so
+}
+
+// Reconfigured replaces the settings as a whole. What is open keeps the class and the number of
+// attempts that it came under: its client was told of those.
+type Reconfigured struct{ Settings Settings }
+
+// Terms are what a message came under.
+type Terms struct {
+	Class    Class
+	Attempts int // Settings.MaxAttempts then
+}
+
 // Woken is the wake-up that a Wake action asked for.
 type Woken struct{}
 
--- a/choice/hand.go
+++ b/choice/hand.go
@@ -7,14 +7,6 @@
 
 // Endpoints that operators take out by hand, how they come back, and the budget of what comes back cold.
 
-// ByHand says that operators took an endpoint out, or gave it back. It holds whatever the list says
-// of that endpoint, before and after.
-type ByHand struct {
-	Host string
-	Out  bool
-	Ago  time.Duration // since they said so
-}
-
 // byHand takes operators at their word. They restart what they take out, so it comes back cold.
 func (c *Chooser) byHand(e ByHand) {
 	h := c.hosts[e.Host]
--- a/choice/restore.go
+++ b/choice/restore.go
@@ -5,20 +5,6 @@
 	"time"
 )
 
-// Restored hands in a message that an earlier process of this relay had taken
-// on, with what is known of its attempts. An attempt whose outcome was never
-// recorded counts as one that may have run.
-type Restored struct {
-	Arrival
-	Attempts int           // used up
-	Timeout  time.Duration // of the last of them
-	Ran      bool          // one of them may have run
-	RanAgo   time.Duration // since the first such attempt went out
-	RanZone  int           // zone of its host
-	Terms    *Terms        // it came under; nil for those of its class as it is now
-	Out      *Running      // the last of them still runs, in the process that hands over; nil if none does
-}
-
 // restore takes a message up where the earlier process left it. Its effect and
 // its attempts bind as if no restart had been; what may not go again is answered now.
 func (c *Chooser) restore(e Restored) {
@@ -41,13 +27,6 @@
 	}
 }
 
-// Unwell says that an earlier process of this relay saw an outage at a host whose
-// end it did not see. It follows the first Listing.
-type Unwell struct {
-	Host string
-	Base float64 // as Health told it
-}
-
 // unwell guards a returning destination against a relay that forgot the outage by a restart.
 func (c *Chooser) unwell(e Unwell) {
 	h := c.hosts[e.Host]
--- a/choice/rules.go
+++ b/choice/rules.go
@@ -7,16 +7,6 @@
 
 // Settings that change while messages are open.
 
-// Reconfigured replaces the settings as a whole. What is open keeps the class and the number of
-// attempts that it came under: its client was told of those.
-type Reconfigured struct{ Settings Settings }
-
-// Terms are what a message came under.
-type Terms struct {
-	Class    Class
-	Attempts int // Settings.MaxAttempts then
-}
-
 func (c *Chooser) reconfigure(s Settings) {
 	if err := s.Check(); err != nil {
 		c.log("settings not taken: %v", err)
--- a/choice/share.go
+++ b/choice/share.go
@@ -15,11 +15,6 @@
 // that, chance alone brings more in a span, and they would pass for beyond the share.
 const savedMost = 6
 
-// Tenant is one of those that share the service.
-type Tenant struct {
-	Quota float64 // messages a second within its share, over all relays
-}
-
 // share is what a tenant has left of its share at this relay.
 type share struct {
 	left float64
