choice: the join of two settings, what both allow

Need: while a change of settings is prepared, each relay acts by what the old and the new ones allow; and without a lease by what the last ones and its own file allow.

Change: Join, a pure function: the smaller budget, the longer wait, the fewer attempts, the class by which less may be repeated. Nothing calls it yet. Not chosen: a join of the documents' numbers by their names, which knows neither units nor which way is the careful one.

--- a/choice/rules.go
+++ b/choice/rules.go
@@ -1,6 +1,7 @@
 package choice
 
 import (
+	"cmp"
 	"math"
 	"slices"
 )
@@ -35,3 +36,41 @@
 	}
 	c.shares = slices.Clip(c.shares[:len(s.Tenants)])
 }
+
+// Join is the settings that both allow, for relays of which some act by one and some by the other: the smaller budget,
+// the longer wait, the fewer attempts, and the class by which less may be repeated and for less long. What contradicts
+// nothing, as an aim, is the second's. Kinds and tenants stand at the same places in both.
+func Join(a, b Settings) Settings {
+	j := b
+	j.Workers, j.MaxAttempts = min(a.Workers, b.Workers), min(a.MaxAttempts, b.MaxAttempts)
+	if a.MaxHeld > 0 { // 0 is no limit
+		j.MaxHeld = min(a.MaxHeld, cmp.Or(b.MaxHeld, a.MaxHeld))
+	}
+	j.Fleet, j.Tick, j.Cancels = max(a.Fleet, b.Fleet), max(a.Tick, b.Tick), a.Cancels && b.Cancels
+	j.OverShare, j.Classes, j.Kinds, j.Tenants = min(a.OverShare, b.OverShare), nil, slices.Clone(b.Kinds), slices.Clone(b.Tenants)
+	p, q := a.Rules, b.Rules
+	j.Rules = Rules{AnswerGrace: min(p.AnswerGrace, q.AnswerGrace), DrainGrace: min(p.DrainGrace, q.DrainGrace),
+		OverloadFactor: min(p.OverloadFactor, q.OverloadFactor), Fall: max(p.Fall, q.Fall), ColdFrom: min(p.ColdFrom, q.ColdFrom),
+		Cold: max(p.Cold, q.Cold), OrderSettle: max(p.OrderSettle, q.OrderSettle)}
+	for _, k := range b.Classes {
+		i := slices.IndexFunc(a.Classes, func(c Class) bool { return c.Name == k.Name })
+		if i < 0 {
+			continue
+		}
+		was := a.Classes[i]
+		k.Deadline, k.Effect = min(k.Deadline, was.Deadline), max(k.Effect, was.Effect)
+		k.SameZone, k.Ordered = k.SameZone || was.SameZone, k.Ordered || was.Ordered
+		if k.Effect == Keyed && was.Effect == Keyed { // a safe class has no window
+			k.Window = min(was.Window, cmp.Or(k.Window, was.Window))
+		}
+		k.Aim = min(k.Aim, k.Deadline)
+		j.Classes = append(j.Classes, k)
+	}
+	for i := range min(len(a.Kinds), len(j.Kinds)) {
+		j.Kinds[i] = Kind{a.Kinds[i].Apart && b.Kinds[i].Apart, min(a.Kinds[i].PerCall, b.Kinds[i].PerCall)}
+	}
+	for i := range min(len(a.Tenants), len(j.Tenants)) {
+		j.Tenants[i].Quota = min(a.Tenants[i].Quota, b.Tenants[i].Quota)
+	}
+	return j
+}
--- a/choice/rules_test.go
+++ b/choice/rules_test.go
@@ -1,8 +1,12 @@
 package choice
 
 import (
+	"reflect"
+	"slices"
 	"testing"
 	"time"
+
+	"pgregory.net/rapid"
 )
 
 // Guards against open messages that follow new settings: fewer attempts, another effect, a class that
@@ -86,3 +90,53 @@
 		t.Errorf("edge %v, want the last bucket", tab.edge)
 	}
 }
+
+// Guards against a join that one of the two would not allow, and one that cannot be acted by.
+func TestJoinIsWhatBothAllow(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		draw := func(name string) Settings {
+			s := settings()
+			n := func(what string, low, high int) int { return rapid.IntRange(low, high).Draw(rt, name+what) }
+			s.Workers, s.MaxHeld, s.MaxAttempts, s.Fleet = n("workers", 1, 9), n("held", 0, 9), n("attempts", 1, 8), n("fleet", 1, 300)
+			s.Rules.Cold, s.Rules.OverloadFactor = time.Duration(n("cold", 1, 9))*time.Second, float64(n("factor", 1, 9))
+			s.Classes = nil
+			for _, class := range rapid.SliceOfNDistinct(rapid.SampledFrom([]string{"a", "b", "c"}), 1, 3, rapid.ID[string]).Draw(rt, name+"classes") {
+				k := Class{Name: class, Aim: time.Duration(n("aim", 1, 9)) * time.Second, Worth: 1, Effect: Effect(n("effect", 0, 2)),
+					SameZone: n("zone", 0, 1) == 1}
+				k.Deadline = k.Aim + time.Duration(n("more", 0, 9))*time.Second
+				if k.Effect == Keyed {
+					k.Window = time.Duration(n("window", 1, 9)) * time.Second
+				}
+				s.Classes = append(s.Classes, k)
+			}
+			s.Kinds = []Kind{{Apart: n("apart", 0, 1) == 1, PerCall: n("per call", 1, 5)}}
+			s.Tenants = []Tenant{{Quota: float64(n("quota", 1, 9))}}
+			return s
+		}
+		a, b := draw("a"), draw("b")
+		j := Join(a, b)
+		if err := j.Check(); err != nil && len(j.Classes) > 0 {
+			rt.Fatalf("the join of two sound settings: %v", err)
+		}
+		for _, s := range []Settings{a, b} {
+			if j.Workers > s.Workers || j.MaxAttempts > s.MaxAttempts || s.MaxHeld > 0 && (j.MaxHeld == 0 || j.MaxHeld > s.MaxHeld) || j.Fleet < s.Fleet ||
+				j.Rules.Cold < s.Rules.Cold || j.Rules.OverloadFactor > s.Rules.OverloadFactor || j.Kinds[0].PerCall > s.Kinds[0].PerCall ||
+				j.Tenants[0].Quota > s.Tenants[0].Quota {
+				rt.Fatalf("%+v allows more than %+v", j, s)
+			}
+			for _, k := range j.Classes {
+				i := slices.IndexFunc(s.Classes, func(c Class) bool { return c.Name == k.Name })
+				if i < 0 {
+					rt.Fatalf("class %q is in one only", k.Name)
+				}
+				was := s.Classes[i]
+				if k.Effect < was.Effect || k.Deadline > was.Deadline || was.SameZone && !k.SameZone || k.Effect == Keyed && was.Effect == Keyed && k.Window > was.Window {
+					rt.Fatalf("%+v may do more than %+v", k, was)
+				}
+			}
+		}
+		if again := Join(j, b); !reflect.DeepEqual(again, j) {
+			rt.Fatalf("joined once more: %+v, not %+v", again, j)
+		}
+	})
+}
