keeper: a process that agrees with others on settings, over raft

Need: relays take settings each from its own file, so two contradict each other for as long as that takes and nobody can tell.

Change: cmd/larchkeeper, alone or with 3 or 5, has the agreement of internal/keeper/state over a raft log (hashicorp/raft, raft-boltdb), sessions of members by leases that are not in the log, and HTTP with JSON: sessions that wait for news, confirmations, rejections, changes with a call's identity, and status with its age. One that does not lead names the one that does, and answers no session. recover goes on from one folder, with numbers that no member has heard of. What both sides say to each other is apart, in internal/keeper/api, so that a relay links no raft.

--- /dev/null
+++ b/internal/keeper/api/api.go
@@ -0,0 +1,119 @@
+// Package api is what keepers, relays and operators say to each other: HTTP/1.1 with JSON bodies. It is apart from the
+// keepers themselves, so that a relay links none of what they are built on.
+package api
+
+import (
+	"encoding/json"
+)
+
+// The paths. All but those with GET go to the keeper that leads; another answers 421 with where that is.
+const (
+	SessionPath     = "/v1/session"     // POST Session: begin or renew one, and wait for news; Standing
+	ConfirmPath     = "/v1/confirm"     // POST Word: the member acts by a turn; 204
+	RejectPath      = "/v1/reject"      // POST Word: it cannot act on a generation; 204
+	LeavePath       = "/v1/leave"       // POST Word: it ends its session; 204
+	GenerationsPath = "/v1/generations" // GET: the newest last; /N one with its document; POST Proposal: a change; Made
+	GiveUpPath      = "/v1/giveup"      // POST Withdrawal: end a change that is not in force; Made
+	StatusPath      = "/v1/status"      // GET: Status of the keeper that is asked
+)
+
+// Session is a member's call.
+type Session struct {
+	Name     string `json:"name"`
+	Instance string `json:"instance"`          // of the process
+	Before   string `json:"before,omitempty"`  // the instance that it takes over from
+	Zone     string `json:"zone,omitempty"`    //
+	Version  string `json:"version,omitempty"` // of the program
+	Turn     uint64 `json:"turn"`              // the newest that it has heard of; the answer waits for another
+	WaitMS   int64  `json:"wait_ms"`           // at most so long
+	// Have are the generations whose documents it has: they are not sent again.
+	Have []uint64 `json:"have,omitempty"`
+}
+
+// Standing is what a member is to act by, and for how long.
+type Standing struct {
+	LeaseMS int64       `json:"lease_ms"` // counted from before the call was made
+	Turn    uint64      `json:"turn"`
+	Force   *Generation `json:"force,omitempty"`
+	Next    *Generation `json:"next,omitempty"` // prepared; act by what both allow
+	// Confirmed is the turn by which the keepers hold the member to act; 0 for none in this session.
+	Confirmed uint64 `json:"confirmed,omitempty"`
+}
+
+// Generation is one numbered document.
+type Generation struct {
+	Number uint64          `json:"number"`
+	Base   uint64          `json:"base,omitempty"`
+	Stage  string          `json:"stage,omitempty"`
+	Sum    string          `json:"sum"` // SHA-256 of the document, hexadecimal
+	Doc    json.RawMessage `json:"doc,omitempty"`
+	Who    string          `json:"who,omitempty"`
+	Why    string          `json:"why,omitempty"`
+	Reason string          `json:"reason,omitempty"` // why it was given up
+}
+
+// Word is a member's on a turn or a generation.
+type Word struct {
+	Name     string `json:"name"`
+	Instance string `json:"instance"`
+	Turn     uint64 `json:"turn,omitempty"`
+	Number   uint64 `json:"number,omitempty"`
+	Reason   string `json:"reason,omitempty"`
+}
+
+// Proposal asks for a change of the newest generation that is in force or on its way.
+type Proposal struct {
+	Op     string          `json:"op"`   // unique; the same call made again bears the same
+	Base   uint64          `json:"base"` // that generation, as the operator knows it
+	Doc    json.RawMessage `json:"doc,omitempty"`
+	To     uint64          `json:"to,omitempty"` // in place of a document: that of an earlier generation
+	Who    string          `json:"who"`
+	Why    string          `json:"why"`
+	DryRun bool            `json:"dry_run,omitempty"` // only check it
+}
+
+// Withdrawal ends a change that is not in force yet.
+type Withdrawal struct {
+	Op     string `json:"op"`
+	Number uint64 `json:"number"`
+	Who    string `json:"who"`
+	Why    string `json:"why"`
+}
+
+// Made is the number of the generation that a call made or concerns.
+type Made struct {
+	Number uint64 `json:"number"`
+}
+
+// Member is a relay that has a session.
+type Member struct {
+	Name     string `json:"name"`
+	Instance string `json:"instance"`
+	Zone     string `json:"zone,omitempty"`
+	Version  string `json:"version,omitempty"`
+	Turn     uint64 `json:"turn"` // by which it has confirmed to act
+	// LeftMS is how much of its session there is at least, as the keeper that leads counts it; -1 at others.
+	LeftMS int64 `json:"left_ms"`
+}
+
+// Status is what one keeper knows. One that does not lead may be behind.
+type Status struct {
+	Keeper  string       `json:"keeper"`
+	Leader  string       `json:"leader"` // its HTTP address; empty if none is known
+	Leads   bool         `json:"leads"`  // a majority has confirmed it since the question came
+	AgeMS   int64        `json:"age_ms"` // since it last heard from the one that leads; 0 there, -1 for never
+	Applied uint64       `json:"applied"`
+	Turn    uint64       `json:"turn"`
+	Force   *Generation  `json:"force,omitempty"`
+	Next    *Generation  `json:"next,omitempty"`
+	Queue   []Generation `json:"queue,omitempty"`
+	Pending []string     `json:"pending,omitempty"` // members that the next step waits for
+	Members []Member     `json:"members,omitempty"`
+	LeaseMS int64        `json:"lease_ms"`
+}
+
+// Problem is the body of every answer but 2xx.
+type Problem struct {
+	Error  string `json:"error"`
+	Leader string `json:"leader,omitempty"` // with 421: the HTTP address of the keeper that leads
+}
--- /dev/null
+++ b/internal/keeper/keeper.go
@@ -0,0 +1,227 @@
+package keeper
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/raft"
+
+	"larchrouter/internal/keeper/state"
+)
+
+// The times of a keeper.
+const (
+	applyIn   = 2 * time.Second // for an entry to be agreed on
+	endsEvery = 8               // looks for sessions that are over, in a lease
+)
+
+// What a keeper cannot do.
+var (
+	errNotLeader = errors.New("another keeper leads, or none")
+	errNoSession = errors.New("the session has ended")
+)
+
+// Keeper is one that runs.
+type Keeper struct {
+	conf    Config
+	raft    *raft.Raft
+	machine *machine
+	store   store
+	wire    *wire
+	server  *http.Server
+	http    net.Listener
+	quit    chan struct{}
+	done    sync.WaitGroup
+
+	mu     sync.Mutex
+	leases *leases
+}
+
+// New opens a keeper's folder and addresses, and joins the others.
+func New(conf Config) (k *Keeper, err error) {
+	if err := conf.Check(); err != nil {
+		return nil, err
+	}
+	k = &Keeper{conf: conf, machine: newMachine(), quit: make(chan struct{}), leases: newLeases(time.Duration(conf.Lease), conf.Drift)}
+	var undo []func() error
+	defer func() {
+		if err != nil {
+			for _, f := range undo {
+				err = errors.Join(err, f())
+			}
+		}
+	}()
+	if k.store, err = openStore(conf.Dir); err != nil {
+		return nil, err
+	}
+	undo = append(undo, k.store.log.Close)
+	var self Peer
+	for _, p := range conf.peers() {
+		if p.Name == conf.Name {
+			self = p
+		}
+	}
+	if k.wire, err = newWire(&conf, self); err != nil {
+		return nil, err
+	}
+	undo = append(undo, k.wire.Close)
+	if k.http, err = net.Listen("tcp", conf.HTTP); err != nil {
+		return nil, fmt.Errorf("http: %w", err)
+	}
+	undo = append(undo, k.http.Close)
+	known, err := raft.HasExistingState(k.store.log, k.store.log, k.store.snapshots)
+	if err != nil {
+		return nil, err
+	}
+	rc := raftConfig(&conf)
+	leads := make(chan bool, 16)
+	rc.NotifyCh = leads
+	transport := raft.NewNetworkTransportWithLogger(k.wire, 4, 5*time.Second, rc.Logger)
+	if k.raft, err = raft.NewRaft(rc, k.machine, k.store.log, k.store.log, k.store.snapshots, transport); err != nil {
+		return nil, err
+	}
+	if !known {
+		if err := k.raft.BootstrapCluster(servers(&conf)).Error(); err != nil {
+			return nil, errors.Join(err, k.raft.Shutdown().Error())
+		}
+	}
+	k.server = &http.Server{Handler: k.handler(), ReadHeaderTimeout: 5 * time.Second, ReadTimeout: 30 * time.Second, IdleTimeout: time.Minute, MaxHeaderBytes: 16 << 10}
+	k.done.Go(func() { k.lead(leads) })
+	k.done.Go(func() { k.server.Serve(k.http) })
+	slog.Info("keeper up", "name", conf.Name, "http", k.http.Addr(), "raft", k.wire.TCPListener.Addr(), "peers", len(conf.peers()), "known", known)
+	return k, nil
+}
+
+// Addr is where relays and operators call.
+func (k *Keeper) Addr() string { return k.http.Addr().String() }
+
+// Close ends the keeper; its folder has what it needs to go on.
+func (k *Keeper) Close() error {
+	close(k.quit)
+	err := k.server.Close()
+	err = errors.Join(err, k.raft.Shutdown().Error())
+	k.done.Wait()
+	return errors.Join(err, k.store.log.Close())
+}
+
+// lead follows who leads, and ends sessions that have run out while this keeper does.
+func (k *Keeper) lead(leads <-chan bool) {
+	tick := time.NewTicker(time.Duration(k.conf.Lease) / endsEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-k.quit:
+			return
+		case leads := <-leads:
+			if !leads {
+				k.mu.Lock()
+				k.leases.depose()
+				k.mu.Unlock()
+				slog.Info("leads no more")
+				continue
+			}
+			// All that the leader before had agreed on is in the state from here on.
+			if err := k.raft.Barrier(applyIn).Error(); err != nil {
+				slog.Warn("elected, and cannot lead", "err", err)
+				k.raft.LeadershipTransfer()
+				continue
+			}
+			k.mu.Lock()
+			k.leases.elect(time.Now())
+			k.mu.Unlock()
+			slog.Info("leads")
+		case <-tick.C:
+			k.endSessions()
+		}
+	}
+}
+
+// endSessions records the end of those that have run out.
+func (k *Keeper) endSessions() {
+	var all []session
+	k.machine.read(func(s *state.State) {
+		for _, m := range s.Members {
+			all = append(all, session{m.Name, m.Instance})
+		}
+	})
+	for _, s := range all {
+		k.mu.Lock()
+		over := k.leases.end(s, time.Now())
+		k.mu.Unlock()
+		if !over {
+			continue
+		}
+		// Several at a time: each waits for the log by itself.
+		k.done.Go(func() {
+			_, err := k.apply(state.Event{Leave: &state.Leave{Name: s.name, Instance: s.instance}})
+			slog.Info("session has run out", "member", s.name, "err", err)
+			k.mu.Lock()
+			defer k.mu.Unlock()
+			k.leases.ended(s)
+		})
+	}
+}
+
+// apply has an event agreed on, and tells what it led to.
+func (k *Keeper) apply(e state.Event) (state.Result, error) {
+	data, err := json.Marshal(e)
+	if err != nil {
+		return state.Result{}, err
+	}
+	f := k.raft.Apply(data, applyIn)
+	if err := f.Error(); err != nil {
+		return state.Result{}, fmt.Errorf("%w: %w", errNotLeader, err)
+	}
+	r := f.Response().(state.Result)
+	return r, r.Err
+}
+
+// leader is the HTTP address of the keeper that leads, as far as this one knows.
+func (k *Keeper) leader() string {
+	_, id := k.raft.LeaderWithID()
+	for _, p := range k.conf.peers() {
+		if string(id) == p.Name {
+			return p.HTTP
+		}
+	}
+	return ""
+}
+
+// leads tells whether this keeper has been elected and knows all that was agreed on before.
+func (k *Keeper) leads() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.leases.leads()
+}
+
+// verified tells whether a majority confirms, from now on, that this keeper leads.
+func (k *Keeper) verified() bool { return k.leads() && k.raft.VerifyLeader().Error() == nil }
+
+// has tells whether a process has its session in the state.
+func (k *Keeper) has(s session) (has bool) {
+	k.machine.read(func(st *state.State) {
+		for _, m := range st.Members {
+			has = has || m.Name == s.name && m.Instance == s.instance
+		}
+	})
+	return has
+}
+
+// renew counts a member's session anew, if it still has one.
+func (k *Keeper) renew(s session) error {
+	if !k.verified() {
+		return errNotLeader
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if !k.leases.renew(s, time.Now()) || !k.has(s) {
+		return errNoSession
+	}
+	return nil
+}
--- a/internal/keeper/state/state.go
+++ b/internal/keeper/state/state.go
@@ -410,6 +410,32 @@
 	}
 }
 
+// The jumps of a recovery: more than what can have been given out since the folder that it starts from was written.
+const (
+	skipTurns   = 1 << 20
+	skipNumbers = 1 << 10
+)
+
+// Recover makes the state of one folder the one to go on from, though others had gone further: numbers and turns jump
+// ahead of all that members may have heard of, and what was on its way is given up. It is no event: it happens while
+// no keeper runs.
+func (s *State) Recover() {
+	const reason = "the keepers were recovered from one folder"
+	if s.Next != nil {
+		s.drop(s.Next, reason)
+	}
+	if len(s.Queue) > 0 {
+		s.drop(s.Queue[0], reason)
+	}
+	s.Turn, s.Last = s.Turn+skipTurns, s.Last+skipNumbers
+	s.Settling = true // members may act by what is lost
+	if s.Force != nil {
+		old := *s.Force
+		s.past(&old, Past, reason)
+		s.Force.Number, s.Force.Base = s.Last, old.Number
+	}
+}
+
 // Pending names the members that the next step waits for.
 func (s *State) Pending() (names []string) {
 	if s.Next == nil && !s.Settling {
