fleet: a relay acts by what the keepers agreed on, by lease; off without a fleet object

Need: the client that survives the keepers' failures, whole or not at all as at SIGHUP.

Change: internal/fleet keeps a session (choice of keeper, waits for news, pauses by chance and by the size of the fleet) and hands answers to the relay's loop, which checks documents as a reload does, keeps them on disk with a checksum before it acts by them, and confirms a turn only once it acts by it. The loop looks at its lease before each step, and so does a call as its connection is up: what was decided by a lease that has run out meanwhile is decided anew. Without a lease: what the last generations and the relay's own file both allow. Each call says by what it was decided (X-Agreed). /metrics tells turn, generation and mode.

Not chosen: a fallback that is the own file alone (a wider one would go beyond what was agreed on).

A relay without the object opens nothing new.

--- a/internal/fleet/hold/hold.go
+++ b/internal/fleet/hold/hold.go
@@ -84,6 +84,12 @@
 	return nil
 }
 
+// Resume takes up what an earlier process of the relay acted by. No clock has been running since: its lease is over.
+func (h *Holder) Resume(t Told) {
+	t.Asked, t.Lease = 0, 0
+	h.told, h.acts, h.until = t, t, 0
+}
+
 // Due is the turn that the relay has heard of and has yet to take up, if there is one.
 func (h *Holder) Due() (t Told, ok bool) { return h.told, h.told.Turn > h.acts.Turn }
 
--- a/internal/relay/calls.go
+++ b/internal/relay/calls.go
@@ -41,6 +41,7 @@
 	timeout time.Duration // the longest of its members'
 	before  time.Time     // its last byte must be written by then; zero for at any time
 	cancel  context.CancelCauseFunc
+	agreed  *acting // by what it was decided; nil for a relay that shares nothing
 }
 
 // told is what a call tells of its host, whatever became of the messages.
@@ -153,7 +154,7 @@
 // start builds the call here in the loop, so that its goroutine shares nothing with it.
 func (r *Relay) start(c *call) {
 	now := r.now()
-	c.began = time.Now()
+	c.began, c.agreed = time.Now(), r.agreed.Load()
 	for i, m := range c.members {
 		m.call = c
 		c.timeout = max(c.timeout, c.sends[i].Timeout)
@@ -290,7 +291,7 @@
 			// for what a slow host leaves unread of it, and a kept connection still has that of the call
 			// before.
 			expired := !c.before.IsZero() && !time.Now().Before(c.before)
-			if gated = c.host.closed.Load() || c.host.waiting.left(r.now()) > 0 || r.late() || expired; gated {
+			if gated = c.host.closed.Load() || c.host.waiting.left(r.now()) > 0 || r.late() || expired || c.agreed.over(r.now()); gated {
 				i.Conn.Close()
 				return
 			}
@@ -313,6 +314,9 @@
 		}
 	}
 	req.Header.Set("X-Deadline-Ms", strconv.FormatInt(max(1, c.timeout.Milliseconds()), 10))
+	if c.agreed != nil {
+		req.Header.Set("X-Agreed", c.agreed.text)
+	}
 	resp, err = r.hostSide.Load().RoundTrip(req)
 	never = err != nil && !out.written.Load()
 	return resp, never, reused, gated, err
--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -8,6 +8,7 @@
 	"strconv"
 
 	"larchrouter/internal/discovery"
+	"larchrouter/internal/fleet"
 	"larchrouter/internal/settings"
 )
 
@@ -25,8 +26,11 @@
 	DiskMB    float64
 	Known     discovery.List
 	Settings  settings.Settings
+	Name      string
+	Fleet     *fleet.Config // nil for a relay that shares nothing
 
-	whole []byte // the file, against which the next one is checked
+	settings json.RawMessage // as the file has them
+	whole    []byte          // the file, against which the next one is checked
 }
 
 // file is the configuration as it stands on disk.
@@ -44,6 +48,8 @@
 	} `json:"limits"`
 	Known    discovery.List  `json:"known"`
 	Settings json.RawMessage `json:"settings"`
+	Name     string          `json:"name"`
+	Fleet    *fleet.Config   `json:"fleet"`
 }
 
 // readFile reads the file that BALANCER_CONFIG names.
@@ -74,7 +80,7 @@
 	}
 	c := Config{Listen: or("BALANCER_LISTEN", f.Listen), Admin: or("BALANCER_ADMIN_ADDR", f.Admin), Discovery: or("BALANCER_DISCOVERY", f.Discovery),
 		State: env("BALANCER_STATE"), Cores: f.Limits.Cores, MemoryMB: f.Limits.MemoryMB,
-		Sockets: f.Limits.Sockets, DiskMB: f.Limits.DiskMB, Known: f.Known, whole: data}
+		Sockets: f.Limits.Sockets, DiskMB: f.Limits.DiskMB, Known: f.Known, Name: or("BALANCER_NAME", f.Name), Fleet: f.Fleet, settings: f.Settings, whole: data}
 	for name, v := range map[string]string{"listen": c.Listen, "discovery": c.Discovery, "BALANCER_STATE": c.State} {
 		if v == "" {
 			return c, fmt.Errorf("%s: %s is missing", path, name)
@@ -84,6 +90,14 @@
 		return c, fmt.Errorf("%s: limits: sockets is %d and disk_mb %g, must be at least 16 and above 0",
 			path, c.Sockets, c.DiskMB)
 	}
+	if c.Fleet != nil {
+		if err := c.Fleet.Check(); err != nil {
+			return c, fmt.Errorf("%s: %w", path, err)
+		}
+		if c.Name == "" {
+			return c, fmt.Errorf("%s: name is missing, by which the fleet knows a relay", path)
+		}
+	}
 	if f.Source != "" {
 		if c.Source = net.ParseIP(f.Source); c.Source == nil {
 			return c, fmt.Errorf("%s: source: %q is no IP address", path, f.Source)
@@ -102,7 +116,7 @@
 
 // readNext reads a configuration that was put in place while the relay runs: all of it, or an
 // error. The environment is as old as the process, so here the file wins.
-func readNext(env func(string) string, running []byte) (data []byte, discovery string, set settings.Settings, err error) {
+func readNext(env func(string) string, running []byte) (data []byte, discovery string, set fleet.File, err error) {
 	path, data, f, err := readFile(env)
 	if err != nil {
 		return nil, "", set, err
@@ -113,7 +127,8 @@
 	if _, _, err = net.SplitHostPort(f.Discovery); err != nil {
 		return nil, "", set, fmt.Errorf("%s: discovery: %w", path, err)
 	}
-	if set, err = settings.Parse(f.Settings); err != nil {
+	set.Raw = f.Settings
+	if set.Set, err = settings.Parse(f.Settings); err != nil {
 		return nil, "", set, fmt.Errorf("%s: settings: %w", path, err)
 	}
 	return data, f.Discovery, set, nil
--- a/internal/relay/figures.go
+++ b/internal/relay/figures.go
@@ -6,6 +6,8 @@
 	"maps"
 	"slices"
 	"sync"
+
+	"larchrouter/internal/fleet/hold"
 )
 
 // ending is how a message ended, as the figures tell it.
@@ -29,6 +31,7 @@
 	inFlight                 int
 	known, excluded          int // endpoints
 	reloadsOK, reloadsFailed int
+	agreed                   *hold.Acts // by what the relay acts; nil for one that shares nothing
 }
 
 // declare has a class stand among the figures before its first message ends.
@@ -70,6 +73,13 @@
 	}
 }
 
+// agree tells by what the relay acts now.
+func (f *figures) agree(a hold.Acts) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.agreed = &a
+}
+
 // hold tells what there is now.
 func (f *figures) hold(inFlight, known, excluded int) {
 	f.mu.Lock()
@@ -90,5 +100,8 @@
 	fmt.Fprintf(&b, "svc.attempts=%d\nsvc.in_flight=%d\nsvc.endpoints_known=%d\nsvc.endpoints_excluded=%d\n"+
 		"svc.reloads_ok=%d\nsvc.reloads_failed=%d\n",
 		f.attempts, f.inFlight, f.known, f.excluded, f.reloadsOK, f.reloadsFailed)
+	if a := f.agreed; a != nil {
+		fmt.Fprintf(&b, "svc.fleet.turn=%d\nsvc.fleet.generation=%d\nsvc.fleet.joined=%d\nsvc.fleet.mode=%d\n", a.Turn, a.Force, a.Next, a.Mode)
+	}
 	return b.Bytes()
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -20,6 +20,7 @@
 
 	"larchrouter/choice"
 	"larchrouter/internal/discovery"
+	"larchrouter/internal/fleet"
 	"larchrouter/internal/journal"
 )
 
@@ -61,16 +62,20 @@
 	// platformAt is where platform's requests go.
 	platformAt *discovery.At
 	list       discovery.Source // of the endpoints
-	calls      context.Context
-	endCalls   context.CancelCauseFunc
-	inbox      chan func()
-	notices    chan notice
-	quit       chan struct{}
-	once       sync.Once
-	admin      *http.Server // of the second address; nil where there is none
-	adminAt    net.Addr
-	ready      atomic.Bool // clients may come
-	figures    figures
+	// kept is what the fleet has agreed on, the loop's; nil for a relay that shares nothing.
+	kept *fleet.Kept
+	// agreed is by what calls go out, for other goroutines; nil for a relay that shares nothing.
+	agreed   atomic.Pointer[acting]
+	calls    context.Context
+	endCalls context.CancelCauseFunc
+	inbox    chan func()
+	notices  chan notice
+	quit     chan struct{}
+	once     sync.Once
+	admin    *http.Server // of the second address; nil where there is none
+	adminAt  net.Addr
+	ready    atomic.Bool // clients may come
+	figures  figures
 
 	chooser *choice.Chooser
 	journal *journal.Journal
@@ -149,9 +154,17 @@
 	if r.chooser, err = choice.New(set.Settings, conf.Seed); err != nil {
 		return nil, err
 	}
-	if r.journal, err = journal.Open(conf.State, int64(conf.DiskMB*1e6)); err != nil {
+	disk := int64(conf.DiskMB * 1e6)
+	if conf.Fleet != nil {
+		disk -= fleet.StateMost
+	}
+	if r.journal, err = journal.Open(conf.State, disk); err != nil {
 		return nil, err
 	}
+	if conf.Fleet != nil {
+		r.kept = fleet.Open(conf.State, newInstance(), fleet.File{Raw: conf.settings, Set: set})
+		r.look()
+	}
 	r.listener = newPeers(r.tcp, conf.Sockets/2)
 	r.server = newServer(r.handler(), r.listener)
 	if h := r.heritage; h != nil {
@@ -205,6 +218,9 @@
 	r.awaitHeir()
 	go r.list.Follow(ctx, func(l discovery.List) { r.post(func() { r.listed(l) }) })
 	go r.tell(ctx)
+	if r.kept != nil {
+		go r.session().Run(ctx)
+	}
 	go r.server.Serve(r.listener)
 	r.ready.Store(true)
 	r.loop()
@@ -303,6 +319,9 @@
 
 func (r *Relay) loop() {
 	for {
+		if r.kept != nil { // a process that was stopped acts by nothing that has run out meanwhile
+			r.look()
+		}
 		r.step()
 		if r.heir == nil {
 			if r.recount {
--- a/internal/relay/reload.go
+++ b/internal/relay/reload.go
@@ -8,6 +8,7 @@
 
 	"larchrouter/choice"
 	"larchrouter/internal/discovery"
+	"larchrouter/internal/fleet"
 	"larchrouter/internal/settings"
 )
 
@@ -67,11 +68,27 @@
 	return err
 }
 
-// retune puts new settings in force, in the loop. What is open keeps those that it came under.
-func (r *Relay) retune(set settings.Settings, platform string) error {
+// retune takes another file up, in the loop.
+func (r *Relay) retune(file fleet.File, platform string) error {
 	if r.heir != nil {
 		return errHandedOver
 	}
+	if old, _ := r.platformAt.Get(); platform != old {
+		r.platformAt.Set(platform)
+		r.platform.CloseIdleConnections()
+		slog.Info("discovery has moved", "to", platform)
+	}
+	if r.kept != nil { // the file is what is left where nothing agreed on can be acted by
+		r.kept.SetFile(file)
+		r.look()
+		return nil
+	}
+	r.actBy(file.Set)
+	return nil
+}
+
+// actBy puts settings in force, in the loop. What is open keeps those that it came under.
+func (r *Relay) actBy(set settings.Settings) {
 	was := r.set.Load()
 	next := was.succeed(set, r.now())
 	r.set.Store(next)
@@ -88,10 +105,4 @@
 		l.Servers = append(l.Servers, h.entry)
 	}
 	r.listed(l)
-	if old, _ := r.platformAt.Get(); platform != old {
-		r.platformAt.Set(platform)
-		r.platform.CloseIdleConnections()
-		slog.Info("discovery has moved", "to", platform)
-	}
-	return nil
 }
