lab: keepers as processes, and the longest contradiction between relays' calls

Need: what keepers promise is to be shown with processes and faults between them.

Change: fleet.keepers starts them, each behind fronts that know who calls; keeper/leader and keepers can be killed, ended, stopped and cut off. A step of settings asks the keepers, insists while none answers, and at the end each change that was accepted must be known. From what calls say that they were decided by, the report has the longest time in which two relays contradict each other, and expect.contradiction bounds it.

--- a/internal/lab/command/command.go
+++ b/internal/lab/command/command.go
@@ -69,7 +69,7 @@
 }
 
 // built reads the deploy file, and builds what it starts.
-func built(ctx context.Context, noBuild bool) (lab.Options, error) {
+func built(ctx context.Context, noBuild bool, keepers int) (lab.Options, error) {
 	var o lab.Options
 	here, err := os.Getwd()
 	if err != nil {
@@ -91,11 +91,14 @@
 		return o, errors.New("deploy/balancer.toml: build or run is missing")
 	}
 	if !noBuild {
+		if keepers > 0 { // the deploy file builds what a relay's machine needs
+			d.Build += " && go build -o bin/ ./cmd/larchkeeper"
+		}
 		if err := d.Built(ctx); err != nil {
 			return o, err
 		}
 	}
-	return lab.Options{Root: root, Command: d.Run}, nil
+	return lab.Options{Root: root, Command: d.Run, Keeper: "exec bin/larchkeeper"}, nil
 }
 
 func newRun(out io.Writer) *cobra.Command {
@@ -112,7 +115,7 @@
 			if c.Flags().Changed("seed") {
 				s.Seed = seed
 			}
-			o, err := built(c.Context(), noBuild)
+			o, err := built(c.Context(), noBuild, s.Fleet.Keepers)
 			if err != nil {
 				return &exit{stuck, err}
 			}
@@ -174,6 +177,9 @@
 	for _, u := range r.Report.Use {
 		relays += u.CPU
 	}
+	if a := r.Report.Agreed; a != nil {
+		fmt.Fprintln(out, "agreement:", a)
+	}
 	fmt.Fprintf(out, "processor time: relays %.1f s, lab %.1f s; the lab's timers late by %.1f ms (50%%), %.1f (99%%), %.1f at most\n",
 		relays, r.LabCPU, r.Lateness.P50, r.Lateness.P99, r.Lateness.Max)
 	if r.Folder != "" {
@@ -277,7 +283,7 @@
 				return &exit{wrongFile, err}
 			}
 			fmt.Fprintln(out, "building what deploy/balancer.toml starts ...")
-			o, err := built(c.Context(), noBuild)
+			o, err := built(c.Context(), noBuild, s.Fleet.Keepers)
 			if err != nil {
 				return &exit{stuck, err}
 			}
@@ -298,7 +304,7 @@
 			return verdict(context.Background(), out, r)
 		}}
 	c.Flags().IntVar(&s.Fleet.Relays, "relays", s.Fleet.Relays, "how many relays")
-	c.Flags().IntVar(&s.Fleet.Keepers, "keepers", 0, "how many keepers (not there yet: 0)")
+	c.Flags().IntVar(&s.Fleet.Keepers, "keepers", 0, "how many keepers: 0, 1, 3 or 5")
 	c.Flags().Float64Var(&rate, "rate", s.Load.Rate, "messages a second")
 	c.Flags().Uint64Var(&s.Seed, "seed", s.Seed, "what the platform is drawn from")
 	c.Flags().StringVar(&dir, "report", "", "write a page with plots to this folder at the end")
--- a/internal/lab/command/sweep.go
+++ b/internal/lab/command/sweep.go
@@ -132,6 +132,7 @@
 				s    *scenario.Scenario
 			}
 			var points []point
+			keepers := 0
 			for _, values := range combinations(all) {
 				text, err := with(data, keys, values)
 				if err != nil {
@@ -146,8 +147,9 @@
 					name = append(name, k+"="+values[i])
 				}
 				points = append(points, point{strings.Join(name, " "), s})
+				keepers = max(keepers, s.Fleet.Keepers)
 			}
-			o, err := built(c.Context(), noBuild)
+			o, err := built(c.Context(), noBuild, keepers)
 			if err != nil {
 				return &exit{stuck, err}
 			}
--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -39,7 +39,7 @@
 func (w *world) fault(ctx context.Context, i int, f scenario.Fault) {
 	name := fmt.Sprintf("fault[%d]", i)
 	text := describe(f)
-	from, err := scenario.Resolve(f.From, w.scenario.Parties())
+	from, err := w.resolve(ctx, f.From)
 	if err != nil {
 		w.cannot(name, err)
 		return
@@ -55,7 +55,7 @@
 	}
 	w.record(begin)
 	if f.To != "" {
-		to, err := scenario.Resolve(f.To, w.scenario.Parties())
+		to, err := w.resolve(ctx, f.To)
 		if err != nil {
 			w.cannot(name, err)
 			return
@@ -157,6 +157,17 @@
 			return nil
 		})
 	}
+	for _, k := range w.keepers {
+		if !named(parties, k.name) {
+			continue
+		}
+		g.Go(func() error {
+			if f.Kind == "pause" {
+				return k.pause(ctx, time.Duration(f.For))
+			}
+			return k.out(ctx, f.Kind == "kill", time.Duration(f.For))
+		})
+	}
 	if err := g.Wait(); err != nil {
 		return err
 	}
@@ -231,6 +242,14 @@
 	g.SetLimit(32)
 	switch st.Do {
 	case "settings":
+		if len(w.keepers) > 0 {
+			w.mu.Lock()
+			w.steps++
+			n := w.steps
+			w.mu.Unlock()
+			g.Go(func() error { return w.propose(ctx, st, n) })
+			break
+		}
 		for _, r := range w.relays {
 			if named(parties, r.name) {
 				g.Go(func() error { return r.retune(func(s map[string]any) { apply(s, st) }, st.Break) })
--- a/internal/lab/history/history.go
+++ b/internal/lab/history/history.go
@@ -90,6 +90,7 @@
 	Sums     []string           `json:"sums,omitempty"`
 	Ends     []string           `json:"ends,omitempty"`
 	Endpoint string             `json:"endpoint,omitempty"`
+	Agreed   string             `json:"agreed,omitempty"` // of a call: turn, generation, the one joined to it or 0, mode
 	Begun    int64              `json:"begun,omitempty"`
 	Whole    int64              `json:"whole,omitempty"`
 	Status   int                `json:"status,omitempty"`
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -30,6 +30,7 @@
 type Options struct {
 	Root    string         // where the command is started
 	Command string         // that starts one relay, as the deploy file has it
+	Keeper  string         // that starts one keeper
 	Env     []string       // further variables for it
 	Folder  string         // where the run's folder is made; empty for the system's
 	Keep    bool           // the run's folder, with logs and configurations
@@ -108,6 +109,11 @@
 	clients   *platform.Clients
 	strangers *platform.Strangers
 	relays    []*relay
+	keepers   []*keeper
+	parties   *parties       // that share fronts; nil without keepers
+	settings  map[string]any // that the operators asked the keepers for last
+	accepted  []uint64       // generations that they were told to be accepted
+	steps     int
 	shared    map[string]string // the address of each endpoint, where it has one for all relays
 
 	mu      sync.Mutex
@@ -193,6 +199,10 @@
 			ends.Go(r.end)
 		}
 		ends.Wait()
+		for _, k := range w.keepers {
+			ends.Go(k.end)
+		}
+		ends.Wait()
 		w.clients.Close()
 		w.net.Close()
 		w.record(history.Event{Kind: history.End})
@@ -206,10 +216,14 @@
 			result = w.result(late())
 		}
 	}()
+	if err := w.startKeepers(ctx); err != nil {
+		return nil, err
+	}
 	if err := w.start(ctx); err != nil {
 		return nil, err
 	}
 	w.play(ctx, &checks)
+	w.lookForAccepted(ctx)
 	return nil, nil
 }
 
@@ -252,6 +266,9 @@
 		for c := range w.scenario.Load.Clients {
 			w.net.Link(fmt.Sprintf("client/%d", c), r.name)
 		}
+		for _, k := range w.keepers {
+			w.net.Link(r.name, k.name)
+		}
 	}
 	var g errgroup.Group
 	g.SetLimit(16)
@@ -392,6 +409,14 @@
 	if want := w.scenario.Expect.Served; want != nil && r.Report.Served < *want {
 		r.Failures = append(r.Failures, Failure{"served", fmt.Sprintf("%.3f of the worth asked for, at least %.3f expected", r.Report.Served, *want)})
 	}
+	if want := w.scenario.Expect.Contradiction; want != nil {
+		switch a := r.Report.Agreed; {
+		case a == nil || len(a.Seen) < 2:
+			r.Failures = append(r.Failures, Failure{"contradiction", "no two generations were acted by, so nothing is shown"})
+		case max(a.Contradiction, a.Three) > time.Duration(*want).Seconds():
+			r.Failures = append(r.Failures, Failure{"contradiction", fmt.Sprintf("%s; at most %s expected", a, *want)})
+		}
+	}
 	if n := len(w.trouble); n > 0 {
 		r.Failures = append(r.Failures, Failure{"the scenario was carried out", strings.Join(w.trouble, "; ")})
 	}
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -137,10 +137,10 @@
 func relays(t *testing.T) Options {
 	t.Helper()
 	dir := t.TempDir()
-	if out, err := exec.Command("go", "build", "-o", filepath.Join(dir, "bin")+"/", "larchrouter/cmd/larchrouter").CombinedOutput(); err != nil {
+	if out, err := exec.Command("go", "build", "-o", filepath.Join(dir, "bin")+"/", "larchrouter/cmd/larchrouter", "larchrouter/cmd/larchkeeper").CombinedOutput(); err != nil {
 		t.Fatalf("%v\n%s", err, out)
 	}
-	return Options{Root: dir, Command: "exec bin/larchrouter"}
+	return Options{Root: dir, Command: "exec bin/larchrouter", Keeper: "exec bin/larchkeeper"}
 }
 
 // Several real relays under load, one killed, one paused, one upgraded, one restarted in order, a zone cut and an
@@ -230,6 +230,81 @@
 	}
 }
 
+// Three keepers and six relays: the keeper that leads is killed as a change comes, relays are cut off from keepers and
+// stopped past their lease, the next leader is stopped in the middle of a turn. Relays never contradict each other for
+// longer than the stated time, what operators were told to be accepted is known at the end, and serving goes on.
+func TestKeepersUnderFaults(t *testing.T) {
+	o := relays(t)
+	r := play(t, parse(t, `
+duration = "14s"
+seed = 6
+[fleet]
+relays = 6
+keepers = 3
+zones = ["a", "b"]
+lease = "1500ms"
+[platform]
+destinations = 4
+[load]
+rate = 60.0
+deadline = "4s"
+[[step]]
+at = "1s"
+do = "settings"
+set = { "max-attempts" = 6 }
+[[fault]]
+at = "1010ms"
+for = "600ms"
+kind = "kill"
+from = "keeper/leader"
+[[fault]]
+at = "4s"
+for = "4s"
+kind = "cut"
+from = "relays:zone=a"
+to = "keepers"
+both = true
+[[step]]
+at = "4500ms"
+do = "settings"
+set = { "max-attempts" = 4 }
+[[fault]]
+at = "8500ms"
+for = "2500ms"
+kind = "pause"
+from = "relay/1"
+[[step]]
+at = "8600ms"
+do = "settings"
+set = { "max-attempts" = 7 }
+[[fault]]
+at = "11s"
+for = "1500ms"
+kind = "pause"
+from = "keeper/leader"
+[[step]]
+at = "11010ms"
+do = "settings"
+set = { "max-attempts" = 5 }
+[[step]]
+at = "12s"
+do = "settings"
+break = "missing"
+[expect]
+contradiction = "1515ms"
+`), o)
+	if len(r.Failures) > 0 {
+		tell(t, r)
+		t.Error("expectations did not hold")
+	}
+	if a := r.Report.Agreed; a == nil || len(a.Seen) < 4 || a.Calls["fallback"] == 0 {
+		t.Errorf("%v: not all of it was tried", a)
+	}
+	if r.Report.InTime+r.Report.Late < r.Report.Asked/2 {
+		t.Errorf("serving did not go on: %s", r.Report)
+	}
+}
+
 // Guards against a lab that blames a relay, or waits for ever, where a process does not start.
 func TestProcessesThatDoNotStart(t *testing.T) {
 	s := parse(t, "duration = \"1s\"\n[fleet]\nrelays = 2")
--- a/internal/lab/platform/draw.go
+++ b/internal/lab/platform/draw.go
@@ -117,6 +117,7 @@
 	Discovery string          `json:"discovery"`
 	Source    string          `json:"source"` // that the relay sends from
 	Seed      string          `json:"seed"`
+	Fleet     map[string]any  `json:"fleet,omitempty"`
 	Limits    map[string]any  `json:"limits"`
 	Known     json.RawMessage `json:"known"`
 	Settings  map[string]any  `json:"settings"`
--- a/internal/lab/platform/partner.go
+++ b/internal/lab/platform/partner.go
@@ -201,7 +201,7 @@
 		return j.call
 	}
 	came := history.Event{T: p.Clock.Now(), Kind: history.Call, Relay: relay, Call: j.call, IDs: j.ids, Endpoint: e.name, Dest: d.Number,
-		Begun: a.begun, Whole: a.whole}
+		Begun: a.begun, Whole: a.whole, Agreed: a.Header.Get("X-Agreed")}
 	for i, b := range bodies {
 		came.Sums = append(came.Sums, Sum(append([]byte(j.keys[i]+"\n"), b...)))
 	}
--- a/internal/lab/rules/report.go
+++ b/internal/lab/rules/report.go
@@ -29,9 +29,10 @@
 	Latency Latency         `json:"latency_ms"`
 	Seconds []Second        `json:"seconds"`
 	Use     map[string]*Use `json:"use"`
-	Calls   map[int]*Series `json:"calls"`  // that reached each destination, by second
-	Limits  map[int][]Limit `json:"limits"` // of each destination, in calls a second
-	Held    *Series         `json:"held"`   // messages by all relays that told, by second
+	Agreed  *Agreed         `json:"agreed,omitempty"` // nil where relays share nothing
+	Calls   map[int]*Series `json:"calls"`            // that reached each destination, by second
+	Limits  map[int][]Limit `json:"limits"`           // of each destination, in calls a second
+	Held    *Series         `json:"held"`             // messages by all relays that told, by second
 	worth   float64
 	got     float64
 	hist    *hdrhistogram.Histogram
--- a/internal/lab/rules/rules.go
+++ b/internal/lab/rules/rules.go
@@ -389,6 +389,7 @@
 	c.calls[e.Call] = a
 	p := c.proc(e.Relay)
 	c.report.arrived(e)
+	c.agreed(e)
 	c.looked(Wait)
 	for _, w := range p.waits[e.Dest] {
 		if e.Whole > w.from+waitGrace && e.Whole < w.until-slack {
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -123,8 +123,8 @@
 	partnerFaults = []string{"outage", "shut", "errors", "slow", "limit", "garble"}
 	listFaults    = []string{"outage", "late-list"}
 	steps         = []string{"settings", "list", "drain", "ban", "unban"}
-	// laterSteps and the expectations without a measure need keepers, which are not there yet. They are
-	// refused rather than passed over: nothing would have been shown.
+	// laterSteps and the expectations without a measure need grants and permits, which are not there yet. They
+	// are refused rather than passed over: nothing would have been shown.
 	laterSteps = []string{"release", "halt", "back"}
 )
 
@@ -213,9 +213,10 @@
 		bad("duration", "is %s, must be 1s to 24h", s.Duration)
 	}
 	within("fleet.relays", float64(s.Fleet.Relays), 1, 1000)
-	if s.Fleet.Keepers != 0 {
-		bad("fleet.keepers", "is %d: this version has no keepers yet, must be 0", s.Fleet.Keepers)
+	if !slices.Contains([]int{0, 1, 3, 5}, s.Fleet.Keepers) {
+		bad("fleet.keepers", "is %d, must be 0, 1, 3 or 5", s.Fleet.Keepers)
 	}
+	within("fleet.lease (seconds)", time.Duration(s.Fleet.Lease).Seconds(), 0.5, 600)
 	if len(s.Fleet.Zones) == 0 || slices.Contains(s.Fleet.Zones, "") {
 		bad("fleet.zones", "must name one zone at least, and none may be empty")
 	}
@@ -264,10 +265,13 @@
 	if v := s.Expect.Served; v != nil {
 		within("expect.served", *v, 0, 1)
 	}
-	for key, set := range map[string]bool{"contradiction": s.Expect.Contradiction != nil, "over-budget": s.Expect.OverBudget != nil,
+	if s.Expect.Contradiction != nil && s.Fleet.Keepers == 0 {
+		bad("expect.contradiction", "needs fleet.keepers: relays without act by what each is told")
+	}
+	for key, set := range map[string]bool{"over-budget": s.Expect.OverBudget != nil,
 		"out-relays": s.Expect.OutRelays != nil, "out-endpoints": s.Expect.OutEndpoints != nil} {
 		if set {
-			bad("expect."+key, "is not measured yet: it needs keepers")
+			bad("expect."+key, "is not measured yet: it needs grants and permits of the keepers")
 		}
 	}
 	return errors.Join(all...)
@@ -297,6 +301,7 @@
 	case f.To != "":
 		return fmt.Errorf("%q is nothing that is wrong with a link (%s); without \"to\" it is of the party itself", f.Kind, strings.Join(linkFaults, ", "))
 	case from.kind == "relay" && is(processFaults):
+	case from.kind == "keeper" && is(processFaults) && f.Kind != "upgrade":
 	case from.kind == "endpoint" && is(partnerFaults):
 		if (f.Kind == "errors" || f.Kind == "garble") && !(f.Part > 0 && f.Part <= 1) || f.Kind == "slow" && f.Part <= 1 || f.Kind == "limit" && !(f.Part > 0) {
 			return fmt.Errorf("%s needs part: errors and garble a share above 0, slow a factor above 1, limit a factor above 0", f.Kind)
@@ -316,7 +321,7 @@
 
 func (s *Scenario) checkStep(st Step) error {
 	if slices.Contains(laterSteps, st.Do) {
-		return fmt.Errorf("%q needs keepers, which are not there yet", st.Do)
+		return fmt.Errorf("%q needs permits of the keepers, which are not there yet", st.Do)
 	}
 	if !slices.Contains(steps, st.Do) {
 		return fmt.Errorf("%q is no step (%s)", st.Do, strings.Join(steps, ", "))
@@ -344,6 +349,9 @@
 		}
 	}
 	to := st.To
+	if st.Do == "settings" && s.Fleet.Keepers > 0 && to != "" && to != "relays" {
+		return errors.New("to: keepers agree on settings for all relays")
+	}
 	if to == "" && st.Do == "settings" {
 		to = "relays"
 	}
--- a/internal/lab/scenario/scenario_test.go
+++ b/internal/lab/scenario/scenario_test.go
@@ -12,7 +12,7 @@
 	for text, wants := range map[string][]string{
 		"name = \"x\"\nrelays = 3":                             {"line 2", "relays", "no such key"},
 		"[fleet]\nrelays = 0":                                  {"line 2", "fleet.relays", "is 0"},
-		"[fleet]\nkeepers = 3":                                 {"line 2", "no keepers yet"},
+		"[fleet]\nkeepers = 2":                                 {"line 2", "0, 1, 3 or 5"},
 		"[fleet]\nzones = []":                                  {"line 2", "fleet.zones"},
 		"duration = \"-3s\"":                                   {"line 1", "negative"},
 		"duration = \"soon\"":                                  {"line 1", "duration"},
@@ -26,15 +26,15 @@
 		"[[fault]]\nkind = \"pause\"\nfrom = \"endpoint/1\"\nfor = \"1s\"":                {"nothing that is wrong with"},
 		"[[fault]]\nkind = \"kill\"\nfrom = \"relays\"\nto = \"discovery\"":               {"wrong with a link"},
 		"[[fault]]\nkind = \"errors\"\nfrom = \"endpoint/1\"\nfor = \"1s\"":               {"needs part"},
-		"[[fault]]\nkind = \"cut\"\nfrom = \"keepers\"\nto = \"relays\"":                  {"no keepers yet"},
+		"[[fault]]\nkind = \"cut\"\nfrom = \"keepers\"\nto = \"relays\"":                  {"names nobody"},
 		"[[fault]]\nat = \"1h\"\nkind = \"kill\"\nfrom = \"relays\"":                      {"after the end"},
 		"[[step]]\nat = \"1s\"\ndo = \"dance\"":                                           {"line 1", "is no step"},
-		"[[step]]\nat = \"1s\"\ndo = \"release\"":                                         {"needs keepers"},
+		"[[step]]\nat = \"1s\"\ndo = \"release\"":                                         {"needs permits"},
 		"[[step]]\ndo = \"settings\"":                                                     {"needs set or break"},
 		"[[step]]\ndo = \"settings\"\nset = { colour = 3 }":                               {"colour"},
 		"[[step]]\ndo = \"drain\"\nto = \"relay/1\"":                                      {"is no endpoint"},
 		"[expect]\nserved = 1.5":                                                          {"line 2", "expect.served"},
-		"[expect]\ncontradiction = \"4s\"":                                                {"line 2", "not measured yet"},
+		"[expect]\ncontradiction = \"4s\"":                                                {"line 2", "needs fleet.keepers"},
 		"[[fault]]\nkind = \"slow\"\nfrom = \"relays\"\nto = \"discovery\"\nfor = \"1s\"": {"needs rate"},
 	} {
 		_, err := Parse([]byte(text))
--- a/internal/lab/scenario/target.go
+++ b/internal/lab/scenario/target.go
@@ -7,15 +7,20 @@
 )
 
 // A target names parties: relay/2, relays, relays:zone=a, relays:part=0.5, endpoint/3, endpoints:dest=1,
-// endpoints:zone=a, discovery, clients.
+// endpoints:zone=a, keeper/1, keeper/leader, keepers, keepers:part=0.5, discovery, clients.
 type target struct {
-	kind string // relay, endpoint, discovery or clients
+	kind string // relay, endpoint, keeper, discovery or clients
 	all  bool
 	n    int
 	by   string // zone, dest or part
 	want string
+	// leader is whichever keeper leads as the target is resolved in a run.
+	leader bool
 }
 
+// Leader is the target that names the keeper that leads.
+const Leader = "keeper/leader"
+
 // Party is one that may be named.
 type Party struct {
 	Name string // relay/2, endpoint/3, discovery, client/4
@@ -23,7 +28,7 @@
 	Dest int
 }
 
-// Kind is relay, endpoint, client or discovery.
+// Kind is relay, endpoint, keeper, client or discovery.
 func (p Party) Kind() string {
 	kind, _, _ := strings.Cut(p.Name, "/")
 	return kind
@@ -42,12 +47,12 @@
 		return target{kind: "client", all: true}, nil
 	}
 	if kind, n, ok := strings.Cut(text, "/"); ok {
+		if text == Leader {
+			return target{kind: kind, leader: true}, nil
+		}
 		i, err := strconv.Atoi(n)
-		if err != nil || i < 0 || kind != "relay" && kind != "endpoint" {
-			if kind == "keeper" {
-				return fail("there are no keepers yet")
-			}
-			return fail("is not relay/N or endpoint/N")
+		if err != nil || i < 0 || kind != "relay" && kind != "endpoint" && kind != "keeper" {
+			return fail("is not relay/N, endpoint/N, keeper/N or keeper/leader")
 		}
 		return target{kind: kind, n: i}, nil
 	}
@@ -59,9 +64,9 @@
 	case "endpoints":
 		t.kind = "endpoint"
 	case "keepers":
-		return fail("there are no keepers yet")
+		t.kind = "keeper"
 	default:
-		return fail("is none of relay/N, relays, endpoint/N, endpoints, discovery, clients")
+		return fail("is none of relay/N, relays, endpoint/N, endpoints, keeper/N, keeper/leader, keepers, discovery, clients")
 	}
 	if !chosen {
 		return t, nil
@@ -71,7 +76,7 @@
 	switch {
 	case !ok || value == "":
 		return fail("after the colon comes zone=, dest= or part=")
-	case key == "zone":
+	case key == "zone" && t.kind != "keeper":
 	case key == "dest" && t.kind == "endpoint":
 		if _, err := strconv.Atoi(value); err != nil {
 			return fail("dest is no number")
@@ -93,6 +98,13 @@
 		return nil, err
 	}
 	var found []Party
+	if t.leader { // who that is a run knows
+		for _, p := range all {
+			if p.Kind() == "keeper" {
+				return []Party{{Name: Leader}}, nil
+			}
+		}
+	}
 	for _, p := range all {
 		kind, number, _ := strings.Cut(p.Name, "/")
 		if kind != t.kind || !t.all && number != strconv.Itoa(t.n) {
@@ -119,6 +131,9 @@
 	for i := range s.Fleet.Relays {
 		all = append(all, Party{Name: fmt.Sprintf("relay/%d", i), Zone: s.Zone(i)})
 	}
+	for i := range s.Fleet.Keepers {
+		all = append(all, Party{Name: fmt.Sprintf("keeper/%d", i)})
+	}
 	for i := range s.Platform.Destinations * s.Platform.Endpoints {
 		all = append(all, Party{Name: fmt.Sprintf("endpoint/%d", i), Zone: s.Zone(i / s.Platform.Destinations), Dest: i % s.Platform.Destinations})
 	}
