--- a/internal/keeper/keeper_test.go
+++ b/internal/keeper/keeper_test.go
@@ -367,15 +367,19 @@
 		held := false
 		for range rapid.IntRange(1, 60).Draw(rt, "steps") {
 			now += rapid.Float64Range(0, 400).Draw(rt, "later")
+			what := rapid.SampledFrom([]string{"ask", "look", "look just before it ends", "elect"}).Draw(rt, "what")
+			if what == "look just before it ends" {
+				now = max(now, until-rapid.Float64Range(0.001, 15).Draw(rt, "before"))
+			}
 			at := began.Add(time.Duration(now * float64(time.Millisecond)))
-			switch rapid.SampledFrom([]string{"ask", "look", "elect"}).Draw(rt, "what") {
+			switch what {
 			case "ask":
 				asked := now
 				now += rapid.Float64Range(0, 300).Draw(rt, "on its way")
 				if l.renew(s, began.Add(time.Duration(now*float64(time.Millisecond)))) {
 					until, held = max(until, asked+lease/rate), true
 				}
-			case "look":
+			case "look", "look just before it ends":
 				if l.end(s, at) {
 					if held && now < until {
 						rt.Fatalf("ended at %.1f, and its member holds it until %.1f", now, until)
