keeper: one without memory has no vote until it knows all again

Cause: a keeper with an empty folder began anew with all votes. If it then voted for one that had not heard of the last change, while the third was down, that change was lost, though it had been answered.

Change: it asks all others first. If any knows of anything, the one that leads takes its vote away, and gives it back once it has the log; if none leads it waits. The first start needs all keepers.

--- a/internal/keeper/api/api.go
+++ b/internal/keeper/api/api.go
@@ -15,6 +15,8 @@
 	GenerationsPath = "/v1/generations" // GET: the newest last; /N one with its document; POST Proposal: a change; Made
 	GiveUpPath      = "/v1/giveup"      // POST Withdrawal: end a change that is not in force; Made
 	StatusPath      = "/v1/status"      // GET: Status of the keeper that is asked
+	RejoinPath      = "/v1/rejoin"      // POST Keeper: one whose folder is empty has no vote until it knows all again; 204
+	PromotePath     = "/v1/promote"     // POST Keeper: it does; 204
 )
 
 // Session is a member's call.
@@ -96,6 +98,12 @@
 	LeftMS int64 `json:"left_ms"`
 }
 
+// Keeper is one that was lost and comes back.
+type Keeper struct {
+	Name    string `json:"name"`
+	Applied uint64 `json:"applied,omitempty"` // entries of the log that it knows
+}
+
 // Status is what one keeper knows. One that does not lead may be behind.
 type Status struct {
 	Keeper  string       `json:"keeper"`
@@ -103,6 +111,7 @@
 	Leads   bool         `json:"leads"`  // a majority has confirmed it since the question came
 	AgeMS   int64        `json:"age_ms"` // since it last heard from the one that leads; 0 there, -1 for never
 	Applied uint64       `json:"applied"`
+	Fresh   bool         `json:"fresh,omitempty"` // it has never heard of anything that was agreed on
 	Turn    uint64       `json:"turn"`
 	Force   *Generation  `json:"force,omitempty"`
 	Next    *Generation  `json:"next,omitempty"`
--- a/internal/keeper/http.go
+++ b/internal/keeper/http.go
@@ -89,6 +89,8 @@
 		r, err := k.agreed(state.Event{GiveUp: &state.GiveUp{Op: g.Op, Number: g.Number, Who: g.Who, Why: g.Why}})
 		return api.Made{Number: r.Number}, err
 	})
+	handle("POST "+api.RejoinPath, callMost, func(_ context.Context, _ *http.Request, body []byte) (any, error) { return nil, k.rejoin(body) })
+	handle("POST "+api.PromotePath, callMost, func(_ context.Context, _ *http.Request, body []byte) (any, error) { return nil, k.promote(body) })
 	handle("GET "+api.GenerationsPath, 0, func(context.Context, *http.Request, []byte) (any, error) { return k.generations(), nil })
 	handle("GET "+api.GenerationsPath+"/{number}", 0, func(_ context.Context, req *http.Request, _ []byte) (any, error) {
 		n, err := strconv.ParseUint(req.PathValue("number"), 10, 64)
@@ -302,11 +304,11 @@
 	out := api.Status{Keeper: k.conf.Name, LeaseMS: time.Duration(k.conf.Lease).Milliseconds()}
 	if out.Leads = k.verified(); !out.Leads {
 		out.AgeMS = -1
-		if at := k.raft.LastContact(); !at.IsZero() {
-			out.AgeMS = time.Since(at).Milliseconds()
+		if r := k.raft.Load(); r != nil && !r.LastContact().IsZero() {
+			out.AgeMS = time.Since(r.LastContact()).Milliseconds()
 		}
 	}
-	out.Leader = k.leader()
+	out.Leader, out.Fresh = k.leader(), k.fresh()
 	k.machine.read(func(s *state.State) {
 		out.Applied, out.Turn, out.Pending = s.Applied, s.Turn, s.Pending()
 		out.Force, out.Next = outward(s.Force, false), outward(s.Next, false)
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/raft"
@@ -30,7 +31,7 @@
 // Keeper is one that runs.
 type Keeper struct {
 	conf    Config
-	raft    *raft.Raft
+	raft    atomic.Pointer[raft.Raft] // nil while a keeper without memory finds out whether the others have any
 	machine *machine
 	store   store
 	wire    *wire
@@ -39,8 +40,9 @@
 	quit    chan struct{}
 	done    sync.WaitGroup
 
-	mu     sync.Mutex
-	leases *leases
+	joining sync.Mutex
+	mu      sync.Mutex
+	leases  *leases
 }
 
 // New opens a keeper's folder and addresses, and joins the others.
@@ -79,23 +81,37 @@
 	if err != nil {
 		return nil, err
 	}
-	rc := raftConfig(&conf)
+	if known || len(conf.peers()) == 1 {
+		if err := k.join(!known); err != nil {
+			return nil, err
+		}
+	}
+	k.server = &http.Server{Handler: k.handler(), ReadHeaderTimeout: 5 * time.Second, ReadTimeout: 30 * time.Second, IdleTimeout: time.Minute, MaxHeaderBytes: 16 << 10}
+	k.done.Go(func() { k.server.Serve(k.http) })
+	k.done.Go(k.arrive)
+	slog.Info("keeper up", "name", conf.Name, "http", k.http.Addr(), "raft", k.wire.TCPListener.Addr(), "peers", len(conf.peers()), "known", known)
+	return k, nil
+}
+
+// join has the keeper take part in the log. First says that there is none yet.
+func (k *Keeper) join(first bool) error {
+	rc := raftConfig(&k.conf)
 	leads := make(chan bool, 16)
 	rc.NotifyCh = leads
 	transport := raft.NewNetworkTransportWithLogger(k.wire, 4, 5*time.Second, rc.Logger)
-	if k.raft, err = raft.NewRaft(rc, k.machine, k.store.log, k.store.log, k.store.snapshots, transport); err != nil {
-		return nil, err
+	r, err := raft.NewRaft(rc, k.machine, k.store.log, k.store.log, k.store.snapshots, transport)
+	if err != nil {
+		return err
 	}
-	if !known {
-		if err := k.raft.BootstrapCluster(servers(&conf)).Error(); err != nil {
-			return nil, errors.Join(err, k.raft.Shutdown().Error())
+	if first {
+		// One that leads already may have told it who the keepers are, in the meantime.
+		if err := r.BootstrapCluster(servers(&k.conf)).Error(); err != nil && !errors.Is(err, raft.ErrCantBootstrap) {
+			return errors.Join(err, r.Shutdown().Error())
 		}
 	}
-	k.server = &http.Server{Handler: k.handler(), ReadHeaderTimeout: 5 * time.Second, ReadTimeout: 30 * time.Second, IdleTimeout: time.Minute, MaxHeaderBytes: 16 << 10}
+	k.raft.Store(r)
 	k.done.Go(func() { k.lead(leads) })
-	k.done.Go(func() { k.server.Serve(k.http) })
-	slog.Info("keeper up", "name", conf.Name, "http", k.http.Addr(), "raft", k.wire.TCPListener.Addr(), "peers", len(conf.peers()), "known", known)
-	return k, nil
+	return nil
 }
 
 // Addr is where relays and operators call.
@@ -105,13 +121,20 @@
 func (k *Keeper) Close() error {
 	close(k.quit)
 	err := k.server.Close()
-	err = errors.Join(err, k.raft.Shutdown().Error())
+	k.joining.Lock() // it joins no more, or has joined
+	defer k.joining.Unlock()
+	if r := k.raft.Load(); r != nil {
+		err = errors.Join(err, r.Shutdown().Error())
+	} else {
+		err = errors.Join(err, k.wire.Close())
+	}
 	k.done.Wait()
 	return errors.Join(err, k.store.log.Close())
 }
 
 // lead follows who leads, and ends sessions that have run out while this keeper does.
 func (k *Keeper) lead(leads <-chan bool) {
+	r := k.raft.Load()
 	tick := time.NewTicker(time.Duration(k.conf.Lease) / endsEvery)
 	defer tick.Stop()
 	for {
@@ -127,9 +150,9 @@
 				continue
 			}
 			// All that the leader before had agreed on is in the state from here on.
-			if err := k.raft.Barrier(applyIn).Error(); err != nil {
+			if err := r.Barrier(applyIn).Error(); err != nil {
 				slog.Warn("elected, and cannot lead", "err", err)
-				k.raft.LeadershipTransfer()
+				r.LeadershipTransfer()
 				continue
 			}
 			k.mu.Lock()
@@ -174,17 +197,25 @@
 	if err != nil {
 		return state.Result{}, err
 	}
-	f := k.raft.Apply(data, applyIn)
+	r := k.raft.Load()
+	if r == nil {
+		return state.Result{}, errNotLeader
+	}
+	f := r.Apply(data, applyIn)
 	if err := f.Error(); err != nil {
 		return state.Result{}, fmt.Errorf("%w: %w", errNotLeader, err)
 	}
-	r := f.Response().(state.Result)
-	return r, r.Err
+	res := f.Response().(state.Result)
+	return res, res.Err
 }
 
 // leader is the HTTP address of the keeper that leads, as far as this one knows.
 func (k *Keeper) leader() string {
-	_, id := k.raft.LeaderWithID()
+	r := k.raft.Load()
+	if r == nil {
+		return ""
+	}
+	_, id := r.LeaderWithID()
 	for _, p := range k.conf.peers() {
 		if string(id) == p.Name {
 			return p.HTTP
@@ -201,7 +232,7 @@
 }
 
 // verified tells whether a majority confirms, from now on, that this keeper leads.
-func (k *Keeper) verified() bool { return k.leads() && k.raft.VerifyLeader().Error() == nil }
+func (k *Keeper) verified() bool { return k.leads() && k.raft.Load().VerifyLeader().Error() == nil }
 
 // has tells whether a process has its session in the state.
 func (k *Keeper) has(s session) (has bool) {
--- a/internal/keeper/keeper_test.go
+++ b/internal/keeper/keeper_test.go
@@ -7,12 +7,14 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"path/filepath"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/hashicorp/raft"
 	"pgregory.net/rapid"
 
 	"larchrouter/internal/keeper/api"
@@ -60,6 +62,9 @@
 			g.stop(i)
 		}
 	})
+	for i := range g.up {
+		g.voter(i, 0)
+	}
 	return g
 }
 
@@ -204,7 +209,7 @@
 		begin := time.Now()
 		err := g.client().Call(ctx, http.MethodPost, api.SessionPath, m, &s)
 		cancel()
-		if err == nil && time.Since(begin) < 100*time.Millisecond && g.up[2].raft.VerifyLeader().Error() != nil {
+		if err == nil && time.Since(begin) < 100*time.Millisecond && g.up[2].raft.Load().VerifyLeader().Error() != nil {
 			t.Fatalf("one keeper of three answered %+v", s)
 		}
 	}
@@ -431,3 +436,83 @@
 		Check(body)
 	})
 }
+
+// leads waits until a keeper leads, and says which; a time of 0 is for as long as it takes.
+func (g *group) leads(within time.Duration) int {
+	for end := time.Now().Add(within); within == 0 || time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		for i, k := range g.up {
+			if k != nil && k.verified() {
+				return i
+			}
+		}
+	}
+	return -1
+}
+
+// voter waits until a keeper has its vote, and knows of a generation unless that is 0.
+func (g *group) voter(i int, generation uint64) {
+	g.t.Helper()
+	for end := time.Now().Add(30 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		l := g.leads(time.Second)
+		if l < 0 || g.up[i].raft.Load() == nil {
+			continue
+		}
+		f := g.up[l].raft.Load().GetConfiguration() // its own may be behind
+		st := g.up[i].status()
+		if f.Error() != nil || generation != 0 && (st.Force == nil || st.Force.Number != generation) {
+			continue
+		}
+		for _, s := range f.Configuration().Servers {
+			if string(s.ID) == g.confs[i].Name && s.Suffrage == raft.Voter {
+				return
+			}
+		}
+	}
+	g.t.Fatalf("keeper %d does not get its vote back, or does not know of generation %d", i, generation)
+}
+
+// A keeper that comes back with an empty folder learns all and gets its vote back; until then it helps nobody to lead
+// who has not heard of what was agreed on.
+func TestEmptyFolder(t *testing.T) {
+	g := newGroup(t, 3, 300*time.Millisecond)
+	c := g.client()
+	var made api.Made
+	change := func(op string, base uint64) {
+		t.Helper()
+		g.must(c, api.GenerationsPath, api.Proposal{Op: op, Base: base, Doc: doc(3), Who: "test"}, &made)
+	}
+	change("1", 0)
+	g.voter(0, 1)
+	wipe := func(i int) {
+		t.Helper()
+		g.stop(i)
+		if err := os.RemoveAll(g.confs[i].Dir); err != nil {
+			t.Fatal(err)
+		}
+	}
+	wipe(2)
+	g.start(2)
+	g.voter(2, 1)
+	g.stop(0) // the others go on
+	change("2", 1)
+	g.voter(2, 2)
+	g.start(0)
+	g.voter(0, 2)
+
+	// One has not heard of the third change, the one that has is down, the other that had is wiped.
+	g.stop(1)
+	change("3", 2)
+	g.voter(0, 3)
+	g.voter(2, 3)
+	wipe(2)
+	g.stop(0)
+	g.start(1)
+	g.start(2)
+	if i := g.leads(1500 * time.Millisecond); i >= 0 {
+		t.Fatalf("keeper %d leads, and the third change is lost", i)
+	}
+	g.start(0)
+	for i := range g.up {
+		g.voter(i, 3)
+	}
+}
