keeper: a damaged log is an error that says what to do, not a crash or another state

Cause: a log file that was cut ended the process by SIGBUS, for the library reads it through a mapping; flipped bytes in an entry were taken as they were, so that one keeper would have gone on with another state. Seen with files cut and flipped at random.

Change: entries have checksums, checked as they are read and as they are applied; a start reads the whole log first, with faults of the mapping as errors. A keeper that meets a damaged entry later stops.

--- a/cmd/larchkeeper/main.go
+++ b/cmd/larchkeeper/main.go
@@ -2,6 +2,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"log/slog"
 	"os"
@@ -52,8 +53,13 @@
 			if err != nil {
 				return err
 			}
-			slog.Info("keeper ends", "signal", (<-stop).String())
-			return k.Close()
+			select {
+			case s := <-stop:
+				slog.Info("keeper ends", "signal", s.String())
+				return k.Close()
+			case err := <-k.Failed():
+				return errors.Join(err, k.Close())
+			}
 		}}
 	c.PersistentFlags().StringVar(&file, "config", "", "file of the configuration (TOML)")
 	c.PersistentFlags().StringVar(&dir, "dir", defaultDir(), "folder of log, votes and snapshots")
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -114,6 +114,9 @@
 	return nil
 }
 
+// Failed tells why the keeper cannot go on, if that is so: it has to be closed.
+func (k *Keeper) Failed() <-chan error { return k.machine.failed }
+
 // Addr is where relays and operators call.
 func (k *Keeper) Addr() string { return k.http.Addr().String() }
 
@@ -201,7 +204,7 @@
 	if r == nil {
 		return state.Result{}, errNotLeader
 	}
-	f := r.Apply(data, applyIn)
+	f := r.Apply(framed(data), applyIn)
 	if err := f.Error(); err != nil {
 		return state.Result{}, fmt.Errorf("%w: %w", errNotLeader, err)
 	}
--- a/internal/keeper/keeper_test.go
+++ b/internal/keeper/keeper_test.go
@@ -516,3 +516,5 @@
 		g.voter(i, 3)
 	}
 }
+
+func entry(data []byte) *raft.Log { return &raft.Log{Index: 7, Type: raft.LogCommand, Data: data} }
--- a/internal/keeper/log.go
+++ b/internal/keeper/log.go
@@ -2,20 +2,24 @@
 
 import (
 	"bytes"
+	"encoding/binary"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"hash/crc32"
 	"io"
 	"log/slog"
 	"net"
 	"os"
 	"path/filepath"
+	"runtime/debug"
 	"sync"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/hashicorp/raft"
 	raftboltdb "github.com/hashicorp/raft-boltdb/v2"
+	"go.etcd.io/bbolt"
 
 	"larchrouter/internal/keeper/state"
 )
@@ -25,9 +29,31 @@
 	mu      sync.Mutex
 	state   *state.State
 	changed chan struct{} // closed with each turn
+	failed  chan error    // an entry could not be read: the keeper cannot go on
 }
 
-func newMachine() *machine { return &machine{state: state.New(), changed: make(chan struct{})} }
+func newMachine() *machine {
+	return &machine{state: state.New(), changed: make(chan struct{}), failed: make(chan error, 1)}
+}
+
+// castagnoli is the polynomial that processors have an instruction for.
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+// framed puts a checksum before an entry: the file of the log has none of its own for them.
+func framed(payload []byte) []byte {
+	return append(binary.LittleEndian.AppendUint32(nil, crc32.Checksum(payload, castagnoli)), payload...)
+}
+
+// errDamaged says that an entry is not what was written.
+var errDamaged = errors.New("the log is damaged")
+
+// unframed checks an entry.
+func unframed(data []byte) ([]byte, error) {
+	if len(data) < 4 || crc32.Checksum(data[4:], castagnoli) != binary.LittleEndian.Uint32(data) {
+		return nil, errDamaged
+	}
+	return data[4:], nil
+}
 
 // read looks at the state. What it hands out must not be kept.
 func (m *machine) read(look func(*state.State)) {
@@ -52,7 +78,15 @@
 // Apply takes in the next entry of the log. One that cannot be read is none at every keeper alike.
 func (m *machine) Apply(l *raft.Log) any {
 	var e state.Event
-	if err := json.Unmarshal(l.Data, &e); err != nil {
+	payload, err := unframed(l.Data)
+	if err != nil { // it differs from what the others have: this keeper must not go on
+		select {
+		case m.failed <- fmt.Errorf("entry %d: %w", l.Index, err):
+		default:
+		}
+		return state.Result{Err: err}
+	}
+	if json.Unmarshal(payload, &e) != nil { // it was written so, and is no event at every keeper alike
 		e = state.Event{}
 	}
 	m.mu.Lock()
@@ -140,7 +174,7 @@
 
 // store is where log, votes and snapshots are.
 type store struct {
-	log       *raftboltdb.BoltStore
+	log       *checked
 	snapshots *raft.FileSnapshotStore
 }
 
@@ -155,8 +189,8 @@
 	if err := os.MkdirAll(dir, 0o700); err != nil {
 		return s, err
 	}
-	if s.log, err = raftboltdb.New(raftboltdb.Options{Path: filepath.Join(dir, "log.bolt")}); err != nil {
-		return s, fmt.Errorf("%s: %w", filepath.Join(dir, "log.bolt"), err)
+	if s.log, err = openLog(filepath.Join(dir, "log.bolt")); err != nil {
+		return s, err
 	}
 	if s.snapshots, err = raft.NewFileSnapshotStoreWithLogger(dir, snapshotsKept, logger()); err != nil {
 		return s, errors.Join(err, s.log.Close())
@@ -164,6 +198,59 @@
 	return s, nil
 }
 
+// checked is a log whose entries are checked as they are read, so that one damaged on this disk reaches no other keeper.
+type checked struct{ *raftboltdb.BoltStore }
+
+// GetLog reads an entry.
+func (c *checked) GetLog(index uint64, l *raft.Log) error {
+	if err := c.BoltStore.GetLog(index, l); err != nil {
+		return err
+	}
+	if l.Type == raft.LogCommand {
+		if _, err := unframed(l.Data); err != nil {
+			return fmt.Errorf("entry %d: %w", index, err)
+		}
+	}
+	return nil
+}
+
+// openLog opens the file of the log and reads all of it. A file that was cut or has other bytes than were written is an
+// error: read through a mapping, as the library does, it would end the process later, or be taken for what it is not.
+func openLog(path string) (c *checked, err error) {
+	defer debug.SetPanicOnFault(debug.SetPanicOnFault(true))
+	var log *raftboltdb.BoltStore
+	defer func() {
+		if r := recover(); r != nil { // the file stays open and locked: its pages cannot be trusted with a close
+			c, err = nil, fmt.Errorf("%w: %v", errDamaged, r)
+		}
+		if err != nil {
+			err = fmt.Errorf("%s: %w. Start with an empty folder to learn from the others, or go on from another one with recover", path, err)
+		}
+	}()
+	if log, err = raftboltdb.New(raftboltdb.Options{Path: path, BoltOptions: &bbolt.Options{Timeout: time.Second}}); err != nil {
+		return nil, err
+	}
+	c = &checked{log}
+	first, err := log.FirstIndex()
+	if err != nil {
+		return nil, errors.Join(err, log.Close())
+	}
+	last, err := log.LastIndex()
+	if err != nil {
+		return nil, errors.Join(err, log.Close())
+	}
+	for i := first; i <= last && i > 0; i++ {
+		var l raft.Log
+		if err := c.GetLog(i, &l); err != nil {
+			return nil, errors.Join(err, log.Close())
+		}
+		if l.Index != i {
+			return nil, errors.Join(fmt.Errorf("%w: entry %d says that it is %d", errDamaged, i, l.Index), log.Close())
+		}
+	}
+	return c, nil
+}
+
 // logger passes the library's warnings to slog.
 func logger() hclog.Logger {
 	return hclog.New(&hclog.LoggerOptions{Name: "raft", Level: hclog.Warn, Output: lines{}, DisableTime: true})
