lab/rules: what lies unread at a stopped relay is owed its end that much later

Change: the end of such a message is owed later by the time that it lay unread.

Result: that history keeps the rule; one that is over even so does not.

--- a/internal/lab/rules/rules_test.go
+++ b/internal/lab/rules/rules_test.go
@@ -93,6 +93,8 @@
 		"late for a restart":              {"", taken("keyed", proc(4000, "kill"), proc(4900, "start"), proc(5000, "ready"), notice(6500, "m", "deferred"))},
 		"too late after a restart":        {End, taken("keyed", proc(4000, "kill"), proc(4900, "start"), proc(5000, "ready"), notice(6600, "m", "deferred"))},
 		"late for a pause":                {"", taken("keyed", proc(4000, "stop"), proc(6000, "cont"), notice(6100, "m", "deferred"))},
+		"read late for a pause":           {"", []history.Event{proc(50, "stop"), hand(100, "m", "keyed"), proc(400, "cont"), heard(410, "m", 202), notice(4740, "m", "deferred")}},
+		"ended late for all that":         {End, []history.Event{proc(50, "stop"), hand(100, "m", "keyed"), proc(400, "cont"), heard(410, "m", 202), notice(4760, "m", "deferred")}},
 		"notice told again":               {"", taken("keyed", notice(1000, "m", "deferred"), notice(1100, "m", "deferred"))},
 		"two ends":                        {Once, taken("keyed", notice(1000, "m", "deferred"), notice(1100, "m", "undeliverable"))},
 		"an end after delivery":           {Once, taken("keyed", append(served, notice(400, "m", "undeliverable"))...)},
