--- a/internal/lab/keeper.go
+++ b/internal/lab/keeper.go
@@ -266,26 +266,7 @@
 
 // pause stops the keeper's process for a while.
 func (k *keeper) pause(ctx context.Context, length time.Duration) error {
-	k.mu.Lock()
-	p := k.now
-	if p == nil {
-		k.mu.Unlock()
-		return nil
-	}
-	k.paused = true
-	k.w.record(history.Event{Kind: history.Proc, Proc: k.name, PID: p.PID, How: "stop"})
-	err := p.Signal(syscall.SIGSTOP, false)
-	k.mu.Unlock()
-	select {
-	case <-ctx.Done():
-	case <-time.After(length):
-	}
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.paused = false
-	err = errors.Join(err, p.Signal(syscall.SIGCONT, false))
-	k.w.record(history.Event{Kind: history.Proc, Proc: k.name, PID: p.PID, How: "cont"})
-	return err
+	return k.w.stopFor(ctx, k.name, &k.mu, &k.now, &k.paused, length)
 }
 
 // end has the keeper's process end with the run.
--- a/internal/lab/relay.go
+++ b/internal/lab/relay.go
@@ -324,25 +324,30 @@
 
 // pause stops the relay's process for a while.
 func (r *relay) pause(ctx context.Context, length time.Duration) error {
-	r.mu.Lock()
-	p := r.now
+	return r.w.stopFor(ctx, r.name, &r.mu, &r.now, &r.paused, length)
+}
+
+// stopFor stops a process for a while. The lock guards which one it is and that it is stopped.
+func (w *world) stopFor(ctx context.Context, name string, mu *sync.Mutex, now **proc.Process, paused *bool, length time.Duration) error {
+	mu.Lock()
+	p := *now
 	if p == nil {
-		r.mu.Unlock()
+		mu.Unlock()
 		return nil
 	}
-	r.paused = true
-	r.w.record(history.Event{Kind: history.Proc, Proc: r.name, PID: p.PID, How: "stop"})
+	*paused = true
+	w.record(history.Event{Kind: history.Proc, Proc: name, PID: p.PID, How: "stop"})
 	err := p.Signal(syscall.SIGSTOP, false)
-	r.mu.Unlock()
+	mu.Unlock()
 	select {
 	case <-ctx.Done():
 	case <-time.After(length):
 	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.paused = false
+	mu.Lock()
+	defer mu.Unlock()
+	*paused = false
 	err = errors.Join(err, p.Signal(syscall.SIGCONT, false))
-	r.w.record(history.Event{Kind: history.Proc, Proc: r.name, PID: p.PID, How: "cont"})
+	w.record(history.Event{Kind: history.Proc, Proc: name, PID: p.PID, How: "cont"})
 	return err
 }
 
