lab: one word of a process's end for relays and keepers, one client while a keeper starts

Cause: the keeper's was a copy of the relay's, and a client with its transport was made for each look at a keeper that starts. No change of behaviour; the lab's tests pass.

--- a/internal/lab/keeper.go
+++ b/internal/lab/keeper.go
@@ -195,15 +195,17 @@
 	log := filepath.Join(k.dir, fmt.Sprintf("log-%d.txt", k.n))
 	k.w.record(history.Event{Kind: history.Proc, Proc: k.name, How: "start"})
 	p, err := proc.Start(proc.Spec{Name: k.name, Command: k.w.options.Keeper + " --config " + k.configPath(), Dir: k.w.options.Root, Env: k.w.options.Env,
-		Sockets: 4096, Log: log}, func(p *proc.Process) { k.ended(p, log) })
+		Sockets: 4096, Log: log}, func(p *proc.Process) { k.w.ended(k.name, p, log) })
 	if err != nil {
 		return err
 	}
 	k.now = p
+	// Asked at its own address: whatever is wrong with links, it is there to be asked.
+	own := &api.Client{HTTP: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
 	for end := time.Now().Add(readyIn); ; time.Sleep(10 * time.Millisecond) {
 		var st api.Status
 		actx, cancel := context.WithTimeout(ctx, time.Second)
-		err := (&api.Client{HTTP: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}).Ask(actx, fmt.Sprintf("%s:%d", k.ip, keeperHTTP),
+		err := own.Ask(actx, fmt.Sprintf("%s:%d", k.ip, keeperHTTP),
 			http.MethodGet, api.StatusPath, nil, &st)
 		cancel()
 		if err == nil {
@@ -224,19 +226,6 @@
 	return nil
 }
 
-// ended tells of a process that has ended.
-func (k *keeper) ended(p *proc.Process, log string) {
-	how, text := "exit", "in order"
-	if err := p.Err(); err != nil {
-		text = err.Error()
-	}
-	if !p.Expected() {
-		how = "crash"
-		text = fmt.Sprintf("ended unasked (%s): %s", text, strings.Join(proc.Tail(log, 3), " | "))
-	}
-	k.w.record(history.Event{Kind: history.Proc, Proc: k.name, PID: p.PID, How: how, Text: text})
-}
-
 // out ends the keeper's process, by SIGKILL or in order, and starts it again after a while.
 func (k *keeper) out(ctx context.Context, kill bool, length time.Duration) error {
 	k.mu.Lock()
--- a/internal/lab/relay.go
+++ b/internal/lab/relay.go
@@ -192,7 +192,7 @@
 	log := r.logPath()
 	r.w.record(history.Event{Kind: history.Proc, Proc: r.name, How: "start", Text: text})
 	p, err := proc.Start(proc.Spec{Name: r.name, Command: r.w.options.Command, Dir: r.w.options.Root, Env: append(env, r.w.options.Env...), Sockets: r.w.scenario.Fleet.Sockets,
-		Log: log}, func(p *proc.Process) { r.ended(p, log) })
+		Log: log}, func(p *proc.Process) { r.w.ended(r.name, p, log) })
 	if err != nil {
 		return err
 	}
@@ -239,7 +239,7 @@
 }
 
 // ended tells of a process that has ended.
-func (r *relay) ended(p *proc.Process, log string) {
+func (w *world) ended(name string, p *proc.Process, log string) {
 	how := "exit"
 	text := "in order"
 	if err := p.Err(); err != nil {
@@ -249,7 +249,7 @@
 		how = "crash"
 		text = fmt.Sprintf("ended unasked (%s): %s", text, strings.Join(proc.Tail(log, 3), " | "))
 	}
-	r.w.record(history.Event{Kind: history.Proc, Proc: r.name, PID: p.PID, How: how, Text: text})
+	w.record(history.Event{Kind: history.Proc, Proc: name, PID: p.PID, How: how, Text: text})
 }
 
 // notice has the front notice, some time after, that a relay has gone.
