--- a/internal/relay/agreed.go
+++ b/internal/relay/agreed.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"crypto/rand"
 	"fmt"
 	"log/slog"
 	"math"
@@ -10,11 +9,20 @@
 	"sync/atomic"
 	"time"
 
+	"crypto/rand"
+
 	"larchrouter/internal/fleet"
 	"larchrouter/internal/fleet/hold"
 	"larchrouter/internal/keeper/api"
 )
 
+// agreement is what the fleet has agreed on.
+type agreement struct {
+	kept *fleet.Kept // nil for a relay that shares nothing
+	// agreed is by what calls go out, for other goroutines; nil for a relay that shares nothing.
+	agreed atomic.Pointer[acting]
+}
+
 // acting is by what the relay acts, for goroutines other than the loop. It is replaced with each turn; only the end of
 // its lease moves.
 type acting struct {
--- /dev/null
+++ b/internal/relay/answers.go
@@ -0,0 +1,92 @@
+package relay
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"larchrouter/choice"
+)
+
+// single reads an answer that holds for the whole call.
+func single(resp *http.Response, many bool) end {
+	switch resp.StatusCode {
+	case http.StatusOK:
+		return end{outcome: choice.Served}
+	case http.StatusTooManyRequests:
+		return end{outcome: choice.Refused}
+	case http.StatusServiceUnavailable:
+		if resp.Header.Get("X-Over-Slots") == "1" {
+			return end{outcome: choice.NotSent}
+		}
+		return end{outcome: choice.Refused}
+	case http.StatusGatewayTimeout:
+		return end{outcome: choice.NotSent}
+	case http.StatusGone:
+		return end{outcome: choice.NotSent, done: true}
+	case http.StatusRequestEntityTooLarge, http.StatusBadRequest:
+		if many {
+			return end{outcome: choice.NotSent}
+		}
+	}
+	return end{outcome: choice.Error}
+}
+
+// batchEnds reads the answer of a call with several messages. One that is not told of may have run.
+func batchEnds(body []byte, ids []string) []end {
+	told := map[string]end{}
+	for line := range strings.Lines(string(body)) {
+		id, what, _ := strings.Cut(strings.TrimSpace(line), " ")
+		switch strings.TrimSpace(what) {
+		case "ok":
+			told[id] = end{outcome: choice.Served}
+		case "later":
+			told[id] = end{outcome: choice.Refused}
+		case "gone":
+			told[id] = end{outcome: choice.NotSent, done: true}
+		case "exhausted":
+			told[id] = end{outcome: choice.NotSent}
+		default:
+			told[id] = end{outcome: choice.Error}
+		}
+	}
+	ends := make([]end, len(ids))
+	for i, id := range ids {
+		e, ok := told[id]
+		if !ok {
+			e = end{outcome: choice.Error}
+		}
+		ends[i] = e
+	}
+	return ends
+}
+
+// retryAfter reads a wait in seconds, whole or decimal, rounded up to milliseconds.
+func retryAfter(h http.Header) time.Duration {
+	s, err := strconv.ParseFloat(strings.TrimSpace(h.Get("Retry-After")), 64)
+	if err != nil || !(s > 0) {
+		return 0
+	}
+	return time.Duration(math.Ceil(min(s, 3600)*1000)) * time.Millisecond
+}
+
+// loadReport reads what a host tells of its load, where the settings say that answers tell
+// it. A report that cannot be read is none.
+func loadReport(h http.Header, fields []string) []float64 {
+	text := h.Get("X-Load")
+	if text == "" || len(fields) == 0 {
+		return nil
+	}
+	var values map[string]float64
+	if json.Unmarshal([]byte(text), &values) != nil {
+		return nil
+	}
+	report := make([]float64, len(fields))
+	for i, name := range fields {
+		report[i] = values[name]
+	}
+	return report
+}
--- /dev/null
+++ b/internal/relay/bequeath.go
@@ -0,0 +1,176 @@
+package relay
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"os"
+	"path/filepath"
+	"syscall"
+	"time"
+)
+
+// awaitHeir listens for the next process of this relay. Without it the relay runs all the same, but
+// cannot be followed by another under load.
+func (r *Relay) awaitHeir() {
+	path := filepath.Join(r.conf.State, handoverName)
+	os.Remove(path) // of a process that is gone, or has handed over
+	l, err := net.ListenUnix("unix", &net.UnixAddr{Name: path, Net: "unix"})
+	if err != nil {
+		slog.Error("no hand-over to a next process", "err", err)
+		return
+	}
+	l.SetUnlinkOnClose(false) // by then the name is that of the next process
+	r.heirs = l
+	go func() {
+		for {
+			conn, err := l.AcceptUnix()
+			if err != nil {
+				return
+			}
+			hello := make([]byte, len(handoverHello))
+			conn.SetDeadline(time.Now().Add(handoverIn))
+			if _, err := io.ReadFull(conn, hello); err != nil || string(hello) != handoverHello {
+				conn.Close()
+				continue
+			}
+			r.post(func() {
+				if r.heir != nil || r.heirConn != nil {
+					conn.Close() // there is a next process already
+					return
+				}
+				r.heirConn = conn
+			})
+			select {
+			case <-r.quit: // nobody will hand over any more
+				conn.Close()
+			default:
+			}
+		}
+	}()
+}
+
+// handOver gives all that this process holds to the next one. It runs in the loop, right after a
+// step: nothing is undecided then. If it fails this process goes on as if nothing had been.
+func (r *Relay) handOver(conn *net.UnixConn) {
+	l, err := r.bequeath(conn)
+	if err != nil {
+		slog.Error("not handed over", "err", err)
+		conn.Close()
+		if err := r.journal.Compact(); err != nil { // the next process may have replaced the file
+			r.journal.Break(err)
+			slog.Error("journal lost in a hand-over", "err", err)
+		}
+		return
+	}
+	slog.Info("handed over", "held", len(r.held), "calls", r.out)
+	r.heir, r.asked = l, map[int64]*intake{}
+	r.figures.hold(0, 0, 0) // they are the next process's
+	r.passedAt.Store(time.Now().UnixNano())
+	r.records, r.untold = nil, nil
+	r.journal.Close()
+	r.heirs.Close()
+	r.endPlatform()
+	r.tcp.Close()                            // the next process has the socket, and all in its queue
+	r.hostSide.Load().CloseIdleConnections() // descriptors count for both processes together
+	go func() {
+		hear(l, func(v returned) { r.post(func() { r.answered(v) }) })
+		r.post(r.heirGone)
+	}()
+}
+
+// bequeath hands everything over and waits for the word that it has arrived.
+func (r *Relay) bequeath(conn *net.UnixConn) (*link, error) {
+	if r.flush(); r.stopped || len(r.records) > 0 {
+		return nil, errors.New("this process stops, or cannot write its journal")
+	}
+	file, err := r.tcp.File()
+	if err != nil {
+		return nil, fmt.Errorf("listener: %w", err)
+	}
+	defer file.Close()
+	conn.SetDeadline(time.Now().Add(handoverIn))
+	if _, _, err := conn.WriteMsgUnix([]byte{'\n'}, syscall.UnixRights(int(file.Fd())), nil); err != nil {
+		return nil, fmt.Errorf("listener: %w", err)
+	}
+	if err := json.NewEncoder(conn).Encode(r.estate()); err != nil {
+		return nil, err
+	}
+	word := make([]byte, len(handoverTaken))
+	if _, err := io.ReadFull(conn, word); err != nil {
+		return nil, err
+	}
+	if string(word) != handoverTaken {
+		return nil, fmt.Errorf("next process says %q", word)
+	}
+	if err := conn.SetDeadline(time.Time{}); err != nil {
+		return nil, err
+	}
+	return newLink(conn, json.NewDecoder(conn)), nil
+}
+
+func (r *Relay) estate() estate {
+	e := estate{Version: r.version, Memory: r.chooser.Memory(r.now()), Past: r.past.all(), Peers: r.listener.count()}
+	listed := map[string]bool{}
+	for id, h := range r.hosts {
+		e.Servers = append(e.Servers, h.entry)
+		listed[id] = true
+	}
+	numbers := map[*call]int{}
+	for _, m := range r.held {
+		if m.call == nil {
+			continue
+		}
+		n, ok := numbers[m.call]
+		if !ok {
+			n = len(e.Calls)
+			numbers[m.call] = n
+			h := m.call.host
+			e.Calls = append(e.Calls, callOut{Host: h.id, Ago: time.Since(m.call.began)})
+			if !listed[h.id] {
+				e.Gone = append(e.Gone, h.entry)
+				listed[h.id] = true
+			}
+		}
+		e.Calls[n].IDs = append(e.Calls[n].IDs, m.ID)
+	}
+	return e
+}
+
+// pass hands a client's message to the next process.
+func (r *Relay) pass(in *intake) {
+	r.askedN++
+	r.asked[r.askedN] = in
+	if !r.heir.send(passed{N: r.askedN, Take: in.entry, Left: in.due - r.now()}) {
+		r.answered(returned{N: r.askedN, Status: 503, After: comeBack, Text: "no next process"})
+	}
+}
+
+// answered takes in what the next process tells.
+func (r *Relay) answered(v returned) {
+	if m := r.held[v.Cancel]; m != nil && m.call != nil {
+		m.call.cancel(errCalled)
+	}
+	if in := r.asked[v.N]; in != nil {
+		delete(r.asked, v.N)
+		in.reply <- answer{status: v.Status, after: v.After, text: v.Text}
+	}
+}
+
+// heirGone ends this process: the journal is no longer its own.
+func (r *Relay) heirGone() {
+	slog.Error("the next process has gone")
+	for n := range r.asked {
+		r.answered(returned{N: n, Status: 503, After: comeBack, Text: "no next process"})
+	}
+	r.stop()
+}
+
+// late tells whether a call that has only now got its connection must not go any more.
+func (r *Relay) late() bool {
+	at := r.passedAt.Load()
+	return at > 0 && time.Since(time.Unix(0, at)) > lateCall
+}
--- /dev/null
+++ b/internal/relay/books.go
@@ -0,0 +1,163 @@
+package relay
+
+import (
+	"errors"
+	"log/slog"
+	"slices"
+	"time"
+
+	"larchrouter/choice"
+	"larchrouter/internal/discovery"
+	"larchrouter/internal/journal"
+)
+
+// What the relay holds for others, and its record of that.
+
+// errUnwritten says that earlier records still wait to be written.
+var errUnwritten = errors.New("journal: earlier records are not written yet")
+
+// message is one that this relay owes its end.
+type message struct {
+	*journal.Entry
+	due   time.Duration
+	call  *call     // out now
+	fresh []*intake // its client still waits for an answer; more than one if it sent it twice
+	twice bool      // its client sent it on a second connection
+	over  bool
+}
+
+func (m *message) answer(a answer) {
+	for _, in := range m.fresh {
+		in.reply <- a
+	}
+	m.fresh = nil
+}
+
+// books is what a relay has taken on and what it has on record of that.
+type books struct {
+	journal *journal.Journal
+	held    map[string]*message
+	past    recent
+	records []journal.Record
+	untold  []notice // go out once they are recorded
+	owed    int      // notices
+	notices chan notice
+}
+
+// restore takes up what the journal holds.
+func (r *Relay) restore() {
+	wall := time.Now().UnixMilli()
+	ms := func(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+	for e := range r.journal.All() {
+		id := e.ID
+		if e.Status != "" {
+			r.owe(notice{e.ID, e.Status, e.Again})
+			continue
+		}
+		if e.Out && r.heritage.callOf(id) == nil {
+			// The process died before the outcome was recorded: it may have run.
+			r.record(journal.Record{Op: journal.OpOutcome, ID: id, Ran: true})
+		}
+		class := r.set.Load().class(e.Class, 0)
+		if class < 0 && e.Terms == nil { // taken on by a version that did not record them
+			r.give(&message{Entry: e}, notice{e.ID, undeliverable, 0})
+			continue
+		}
+		m := &message{Entry: e, due: r.now() + ms(e.Due-wall)}
+		r.held[id] = m
+		adopted := r.heritage.callOf(id)
+		ev := choice.Restored{Arrival: choice.Arrival{ID: id, Class: class, Dest: e.Dest, Left: ms(e.Due - wall),
+			Tenant: slices.Index(r.set.Load().TenantNames, e.Tenant)}, Terms: e.Terms,
+			Attempts: e.Tries, Timeout: ms(e.Wait), Ran: e.Ran, RanAgo: ms(wall - e.RanAt), RanZone: e.Zone}
+		if adopted != nil {
+			m.call = adopted
+			ev.Out = &choice.Running{Host: adopted.host.id, Call: adopted.number, Ago: time.Since(adopted.began)}
+		} else if e.Out && !e.Ran {
+			ev.Ran, ev.RanAgo, ev.RanZone = true, ms(wall-e.OutAt), e.OutTo
+		}
+		r.events = append(r.events, ev)
+	}
+	for id, s := range r.journal.Unwell() {
+		if r.heritage != nil { // the decisions remember more
+			break
+		}
+		r.events = append(r.events, choice.Unwell{Host: id, Base: s.Base})
+	}
+	for id, h := range r.journal.ByHand() {
+		r.events = append(r.events, choice.ByHand{Host: id, Out: h.Ran, Ago: ms(max(1, wall-h.At))})
+	}
+	slog.Info("journal replayed", "held", len(r.held), "owed", r.owed)
+}
+
+func (r *Relay) record(rec journal.Record) { r.records = append(r.records, rec) }
+
+// owe has a notice told once what it says is recorded.
+func (r *Relay) owe(n notice) {
+	r.owed++
+	r.untold = append(r.untold, n)
+}
+
+// give ends a message undelivered.
+func (r *Relay) give(m *message, n notice) {
+	r.record(journal.Record{Op: journal.OpNotice, ID: m.ID, Status: n.Status, Again: n.Again})
+	how := refusedEnd
+	if n.Status == undeliverable {
+		how = failedEnd
+	}
+	r.figures.ended(m.Class, how)
+	r.owe(n)
+	r.drop(m)
+}
+
+// drop forgets a message that has ended.
+func (r *Relay) drop(m *message) {
+	m.over = true
+	delete(r.held, m.ID)
+	r.past.add(m.ID)
+}
+
+// flush records what has ended. What cannot be written now is kept, and no notice
+// goes out before it is: a client told to come again, and a restart that takes the
+// message up again, would deliver it twice.
+func (r *Relay) flush() {
+	if r.heir != nil {
+		return // the journal is the next process's
+	}
+	if len(r.records) > 0 {
+		if err := r.journal.Append(r.records...); err != nil {
+			slog.Error("not recorded", "records", len(r.records), "err", err)
+			time.AfterFunc(discovery.LongPause, func() { r.post(func() {}) })
+			return
+		}
+		r.records = r.records[:0]
+	}
+	for _, n := range r.untold {
+		r.notices <- n // holds more than can be owed
+	}
+	r.untold = r.untold[:0]
+}
+
+// all has the ids, the oldest first.
+func (s *recent) all() []string {
+	return slices.DeleteFunc(slices.Concat(s.ring[min(s.next, len(s.ring)):], s.ring[:s.next]),
+		func(id string) bool { return id == "" })
+}
+
+// recent is a bounded memory of ids.
+type recent struct {
+	ids  map[string]bool
+	ring []string
+	next int
+}
+
+func (s *recent) has(id string) bool { return s.ids[id] }
+
+func (s *recent) add(id string) {
+	if s.ids == nil {
+		s.ids, s.ring = map[string]bool{}, make([]string, 4096)
+	}
+	delete(s.ids, s.ring[s.next])
+	s.ring[s.next] = id
+	s.ids[id] = true
+	s.next = (s.next + 1) % len(s.ring)
+}
--- a/internal/relay/calls.go
+++ b/internal/relay/calls.go
@@ -1,21 +1,15 @@
 package relay
 
 import (
-	"bytes"
 	"cmp"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
-	"math"
 	"net"
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
-	"strings"
-	"sync/atomic"
-	"syscall"
 	"time"
 
 	"larchrouter/choice"
@@ -62,73 +56,6 @@
 	done    bool // the host holds the message to be over
 }
 
-// hostConn tells a request that its last byte has been written. The library's own word comes
-// before the last flush, and that of RoundTrip only with the answer.
-type hostConn struct {
-	net.Conn
-	sending atomic.Pointer[onceBody] // of the request that is being written
-}
-
-func (c *hostConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	// All that was read of the body before a write is in that write or an earlier one.
-	if b := c.sending.Load(); err == nil && b != nil && b.handed.Load() && c.sending.CompareAndSwap(b, nil) {
-		b.written.Store(true)
-		b.whole()
-	}
-	return n, err
-}
-
-// onceBody is a request body that net/http cannot rewind. It guards against
-// the library's own resends: a request that bears an Idempotency-Key is sent
-// again after a broken connection if its body is empty or has GetBody.
-type onceBody struct {
-	rest    *bytes.Reader
-	handed  atomic.Bool // the library has read it to its end
-	written atomic.Bool // and has written all of the request
-	whole   func()      // called then
-}
-
-func newOnceBody(body []byte, whole func()) *onceBody {
-	b := &onceBody{rest: bytes.NewReader(body), whole: whole}
-	b.handed.Store(len(body) == 0)
-	return b
-}
-
-func (b *onceBody) Read(p []byte) (int, error) {
-	n, err := b.rest.Read(p)
-	if b.rest.Len() == 0 {
-		b.handed.Store(true)
-	}
-	return n, err
-}
-
-func (b *onceBody) Close() error { return nil }
-
-// dialer opens connections, from an address of this machine if one is given: partners that know relays by their
-// address can tell them apart on a machine that has several.
-func dialer(source net.IP, timeout time.Duration) *net.Dialer {
-	d := &net.Dialer{Timeout: timeout}
-	if source == nil {
-		return d
-	}
-	d.LocalAddr = &net.TCPAddr{IP: source}
-	d.Control = func(_, _ string, raw syscall.RawConn) error {
-		// The port is chosen as the connection is made, not before: else no two could share one, whoever they go to.
-		var err error
-		if cerr := raw.Control(func(fd uintptr) {
-			err = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_IP, ipBindAddressNoPort, 1)
-		}); cerr != nil {
-			return cerr
-		}
-		return err
-	}
-	return d
-}
-
-// ipBindAddressNoPort is Linux's IP_BIND_ADDRESS_NO_PORT (ip(7)), which package syscall does not have.
-const ipBindAddressNoPort = 24
-
 // newTransport returns the client side towards hosts. It keeps so many idle connections at most.
 func newTransport(set *settings.Settings, conns int, source net.IP) *http.Transport {
 	d := dialer(source, set.DialTimeout)
@@ -321,83 +248,3 @@
 	never = err != nil && !out.written.Load()
 	return resp, never, reused, gated, err
 }
-
-// single reads an answer that holds for the whole call.
-func single(resp *http.Response, many bool) end {
-	switch resp.StatusCode {
-	case http.StatusOK:
-		return end{outcome: choice.Served}
-	case http.StatusTooManyRequests:
-		return end{outcome: choice.Refused}
-	case http.StatusServiceUnavailable:
-		if resp.Header.Get("X-Over-Slots") == "1" {
-			return end{outcome: choice.NotSent}
-		}
-		return end{outcome: choice.Refused}
-	case http.StatusGatewayTimeout:
-		return end{outcome: choice.NotSent}
-	case http.StatusGone:
-		return end{outcome: choice.NotSent, done: true}
-	case http.StatusRequestEntityTooLarge, http.StatusBadRequest:
-		if many {
-			return end{outcome: choice.NotSent}
-		}
-	}
-	return end{outcome: choice.Error}
-}
-
-// batchEnds reads the answer of a call with several messages. One that is not told of may have run.
-func batchEnds(body []byte, ids []string) []end {
-	told := map[string]end{}
-	for line := range strings.Lines(string(body)) {
-		id, what, _ := strings.Cut(strings.TrimSpace(line), " ")
-		switch strings.TrimSpace(what) {
-		case "ok":
-			told[id] = end{outcome: choice.Served}
-		case "later":
-			told[id] = end{outcome: choice.Refused}
-		case "gone":
-			told[id] = end{outcome: choice.NotSent, done: true}
-		case "exhausted":
-			told[id] = end{outcome: choice.NotSent}
-		default:
-			told[id] = end{outcome: choice.Error}
-		}
-	}
-	ends := make([]end, len(ids))
-	for i, id := range ids {
-		e, ok := told[id]
-		if !ok {
-			e = end{outcome: choice.Error}
-		}
-		ends[i] = e
-	}
-	return ends
-}
-
-// retryAfter reads a wait in seconds, whole or decimal, rounded up to milliseconds.
-func retryAfter(h http.Header) time.Duration {
-	s, err := strconv.ParseFloat(strings.TrimSpace(h.Get("Retry-After")), 64)
-	if err != nil || !(s > 0) {
-		return 0
-	}
-	return time.Duration(math.Ceil(min(s, 3600)*1000)) * time.Millisecond
-}
-
-// loadReport reads what a host tells of its load, where the settings say that answers tell
-// it. A report that cannot be read is none.
-func loadReport(h http.Header, fields []string) []float64 {
-	text := h.Get("X-Load")
-	if text == "" || len(fields) == 0 {
-		return nil
-	}
-	var values map[string]float64
-	if json.Unmarshal([]byte(text), &values) != nil {
-		return nil
-	}
-	report := make([]float64, len(fields))
-	for i, name := range fields {
-		report[i] = values[name]
-	}
-	return report
-}
--- a/internal/relay/handover_test.go
+++ b/internal/relay/handover_test.go
@@ -171,8 +171,8 @@
 		{name: "an answer to pass back", asked: 1, held: 1, passed: true, stopped: true},
 		{name: "messages of the next process", held: 1, passed: true, idle: true},
 	} {
-		r := &Relay{out: c.out, stopped: c.stopped, heritage: &heritage{calls: map[string]*call{}},
-			held: map[string]*message{}, asked: map[int64]*intake{}}
+		r := &Relay{out: c.out, stopped: c.stopped, books: books{held: map[string]*message{}},
+			succession: succession{heritage: &heritage{calls: map[string]*call{}}, asked: map[int64]*intake{}}}
 		if c.passed {
 			r.heir = &link{}
 		}
@@ -194,7 +194,7 @@
 	c := &call{host: &host{id: "s-1"}, began: time.Now().Add(-time.Minute)}
 	m := &message{Entry: &journal.Entry{ID: "m1"}, call: c}
 	h := &heritage{calls: map[string]*call{"m1": c}}
-	r := &Relay{heritage: h, held: map[string]*message{"m1": m}}
+	r := &Relay{succession: succession{heritage: h}, books: books{held: map[string]*message{"m1": m}}}
 	r.orphaned(h)
 	want(t, "events", len(r.events), 1)
 	e := r.events[0].(choice.Result)
--- a/internal/relay/hosts.go
+++ b/internal/relay/hosts.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"net/http"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -9,6 +10,15 @@
 	"larchrouter/internal/discovery"
 )
 
+// endpoints is the list as the relay goes by it.
+type endpoints struct {
+	hosts    map[string]*host
+	dests    map[int]*waiting               // ever listed
+	version  int64                          // of the list
+	zones    []string                       // in the order of Host.Zone
+	hostSide atomic.Pointer[http.Transport] // for other goroutines, too
+}
+
 // host is what the relay needs to call an endpoint.
 type host struct {
 	entry      discovery.Server // as last listed
--- /dev/null
+++ b/internal/relay/inherit.go
@@ -0,0 +1,172 @@
+package relay
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"os"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"larchrouter/choice"
+)
+
+// heritage is what a process has from the one before it.
+type heritage struct {
+	estate
+	conn  *net.UnixConn
+	in    *json.Decoder
+	tcp   *net.TCPListener
+	calls map[string]*call // by message
+}
+
+// inherit asks the process that runs as this relay to hand over. It returns nil if there is none.
+func inherit(state string) (*heritage, error) {
+	path := filepath.Join(state, handoverName)
+	c, err := net.DialTimeout("unix", path, handoverIn)
+	if errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, os.ErrNotExist) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, fmt.Errorf("hand-over: %w", err)
+	}
+	h := &heritage{conn: c.(*net.UnixConn), in: json.NewDecoder(c), calls: map[string]*call{}}
+	if err := h.receive(); err != nil {
+		h.close()
+		return nil, fmt.Errorf("hand-over: %w", err)
+	}
+	return h, nil
+}
+
+func (h *heritage) receive() error {
+	h.conn.SetDeadline(time.Now().Add(2 * handoverIn)) // the other side may be in the middle of a step
+	if _, err := io.WriteString(h.conn, handoverHello); err != nil {
+		return err
+	}
+	first, rights := make([]byte, 1), make([]byte, syscall.CmsgSpace(4))
+	_, n, _, _, err := h.conn.ReadMsgUnix(first, rights)
+	if err != nil {
+		return err
+	}
+	messages, err := syscall.ParseSocketControlMessage(rights[:n])
+	if err != nil || len(messages) != 1 {
+		return fmt.Errorf("no listener came: %v", err)
+	}
+	fds, err := syscall.ParseUnixRights(&messages[0])
+	if err != nil || len(fds) != 1 {
+		return fmt.Errorf("no listener came: %v", err)
+	}
+	file := os.NewFile(uintptr(fds[0]), "listener")
+	defer file.Close()
+	l, err := net.FileListener(file)
+	if err != nil {
+		return err
+	}
+	tcp, ok := l.(*net.TCPListener)
+	if !ok {
+		l.Close()
+		return fmt.Errorf("%T came for a listener", l)
+	}
+	h.tcp = tcp
+	return h.in.Decode(&h.estate)
+}
+
+func (h *heritage) close() {
+	h.conn.Close()
+	if h.tcp != nil {
+		h.tcp.Close()
+	}
+}
+
+// accept tells the process before this one that it has handed over.
+func (h *heritage) accept() error {
+	if _, err := io.WriteString(h.conn, handoverTaken); err != nil {
+		return fmt.Errorf("hand-over: %w", err)
+	}
+	return h.conn.SetDeadline(time.Time{})
+}
+
+// callOf is the call that a message is out with in the process before this one; nil for none.
+func (h *heritage) callOf(id string) *call {
+	if h == nil {
+		return nil
+	}
+	return h.calls[id]
+}
+
+// adopt takes up the calls that run on in the process before this one.
+func (r *Relay) adopt(h *heritage) {
+	for i, c := range h.Calls {
+		if r.hosts[c.Host] == nil {
+			continue // the journal has its messages as ones that may have run
+		}
+		adopted := &call{number: i + 1, host: r.hosts[c.Host], began: time.Now().Add(-c.Ago)}
+		for _, id := range c.IDs {
+			h.calls[id] = adopted
+		}
+	}
+	for _, id := range h.Past {
+		r.past.add(id)
+	}
+	r.events = append(r.events, h.Memory)
+}
+
+// attend follows the process before this one until it ends.
+func (r *Relay) attend(h *heritage) {
+	l := newLink(h.conn, h.in)
+	for id, c := range h.calls {
+		c.cancel = func(error) { l.send(returned{Cancel: id}) }
+	}
+	go func() {
+		hear(l, func(v passed) {
+			r.post(func() {
+				if v.End != nil {
+					r.endedBefore(h, *v.End)
+				}
+				if v.Take != nil {
+					r.takePassed(l, v)
+				}
+			})
+		})
+		r.post(func() {
+			r.orphaned(h)
+			r.listener.allow(r.conf.Sockets / 2)
+			slog.Info("the process before this one has ended")
+		})
+	}()
+}
+
+// orphaned ends the calls that were still out as the process before this one ended. They may have
+// run, but were broken off on this side: that is not held against their hosts as a reset would be.
+func (r *Relay) orphaned(h *heritage) {
+	for id, c := range h.calls {
+		r.endedBefore(h, endPassed{ID: id, Outcome: choice.Cancelled, Took: time.Since(c.began)})
+	}
+}
+
+// endedBefore takes in how an attempt ended that the process before this one had out.
+func (r *Relay) endedBefore(h *heritage, e endPassed) {
+	c := h.calls[e.ID]
+	delete(h.calls, e.ID)
+	if m := r.held[e.ID]; m != nil && c != nil {
+		r.ended(c, m, end{e.Outcome, e.Done}, told{took: e.Took, wait: e.Wait, report: e.Report, stale: e.Stale})
+	}
+}
+
+// takePassed takes on a message that came on a connection of the process before this one.
+func (r *Relay) takePassed(l *link, v passed) {
+	in := &intake{entry: v.Take, due: r.now() + v.Left, ctx: r.calls, reply: make(chan answer, 1)}
+	answered := func(a answer) { l.send(returned{N: v.N, Status: a.status, After: a.after, Text: a.text}) }
+	r.take(in)
+	go func() {
+		select {
+		case a := <-in.reply:
+			answered(a)
+		case <-r.quit:
+		}
+	}()
+}
--- a/internal/relay/intake.go
+++ b/internal/relay/intake.go
@@ -231,28 +231,3 @@
 	delete(r.held, id)
 	return true
 }
-
-// all has the ids, the oldest first.
-func (s *recent) all() []string {
-	return slices.DeleteFunc(slices.Concat(s.ring[min(s.next, len(s.ring)):], s.ring[:s.next]),
-		func(id string) bool { return id == "" })
-}
-
-// recent is a bounded memory of ids.
-type recent struct {
-	ids  map[string]bool
-	ring []string
-	next int
-}
-
-func (s *recent) has(id string) bool { return s.ids[id] }
-
-func (s *recent) add(id string) {
-	if s.ids == nil {
-		s.ids, s.ring = map[string]bool{}, make([]string, 4096)
-	}
-	delete(s.ids, s.ring[s.next])
-	s.ring[s.next] = id
-	s.ids[id] = true
-	s.next = (s.next + 1) % len(s.ring)
-}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -449,7 +449,7 @@
 
 // Guards against calls held back, or let through, by a whole list: it closes just the hosts it leaves out.
 func TestWholeListClosesWhatIsMissing(t *testing.T) {
-	r := &Relay{hosts: map[string]*host{}, dests: map[int]*waiting{}, journal: openJournal(t)}
+	r := &Relay{endpoints: endpoints{hosts: map[string]*host{}, dests: map[int]*waiting{}}, books: books{journal: openJournal(t)}}
 	r.set.Store(&standing{})
 	if err := r.journal.Append(journal.Record{Op: journal.OpByHand, ID: "s-4", Ran: true}); err != nil {
 		t.Fatal(err)
--- /dev/null
+++ b/internal/relay/serve.go
@@ -0,0 +1,158 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"larchrouter/internal/discovery"
+)
+
+// Serve runs the relay until Drain has ended it.
+func (r *Relay) Serve() {
+	ctx, cancel := context.WithCancel(context.Background())
+	r.endPlatform = cancel
+	if r.heritage != nil {
+		r.attend(r.heritage)
+	}
+	r.awaitHeir()
+	go r.list.Follow(ctx, func(l discovery.List) { r.post(func() { r.listed(l) }) })
+	go r.tell(ctx)
+	if r.kept != nil {
+		go r.session().Run(ctx)
+	}
+	go r.server.Serve(r.listener)
+	r.ready.Store(true)
+	r.loop()
+	cancel()
+	if r.heir != nil {
+		r.heir.finish()
+	}
+	if r.admin != nil {
+		r.admin.Close()
+	}
+	if r.heirs != nil {
+		r.heirs.Close()
+	}
+	r.server.Close()
+	r.endCalls(errStopping)
+}
+
+// The times of an orderly stop, from SIGTERM. New connections come for 0.4 s
+// more, SIGKILL after 3.7 s.
+const (
+	stopKeeping = 500 * time.Millisecond  // then connections end between requests
+	stopTaking  = 800 * time.Millisecond  // then none is accepted
+	stopPassing = 2300 * time.Millisecond // after a hand-over: then connections without a request end
+	stopSending = 2600 * time.Millisecond // then no more calls go out
+	stopAll     = 3300 * time.Millisecond // then calls still out are left to the journal
+)
+
+// Drain stops the relay in order: it takes on and delivers while clients still
+// come, lets calls out finish, and leaves the rest to the journal.
+func (r *Relay) Drain() {
+	r.ready.Store(false)
+	begin := time.Now()
+	rest := func(d time.Duration) time.Duration { return max(0, d-time.Since(begin)) }
+	if r.passedAt.Load() > 0 {
+		// The clients' connections end with their next answer, none of them under a request.
+		time.Sleep(rest(stopPassing))
+	} else {
+		time.Sleep(rest(stopKeeping))
+		r.server.SetKeepAlivesEnabled(false)
+		time.Sleep(rest(stopTaking))
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), rest(stopSending))
+	r.server.Shutdown(ctx)
+	cancel()
+	idle := make(chan struct{}, 1)
+	for {
+		r.post(func() {
+			r.stopped = r.stopped || time.Since(begin) >= stopSending
+			if r.idle() {
+				select {
+				case idle <- struct{}{}:
+				default:
+				}
+			}
+		})
+		select {
+		case <-idle:
+		case <-time.After(rest(stopAll)):
+		case <-time.After(20 * time.Millisecond):
+			if time.Since(begin) < stopAll {
+				continue
+			}
+		}
+		break
+	}
+	r.stop()
+}
+
+// idle tells whether nothing is left that a relay which stops should wait for.
+func (r *Relay) idle() bool {
+	out := r.out
+	if r.heritage != nil { // the process before this one may have calls out, whose ends come here
+		out += len(r.heritage.calls)
+	}
+	if r.heir != nil {
+		return out == 0 && len(r.asked) == 0
+	}
+	return out == 0 && (r.stopped || len(r.held)+r.owed == 0)
+}
+
+// stop ends the relay as it is; the journal has the rest.
+func (r *Relay) stop() { r.once.Do(func() { close(r.quit) }) }
+
+func (r *Relay) now() time.Duration { return time.Since(r.began) }
+
+// post hands the loop something to do.
+func (r *Relay) post(f func()) {
+	select {
+	case r.inbox <- f:
+	case <-r.quit:
+	}
+}
+
+// atOnce is always ready.
+var atOnce = func() <-chan struct{} { c := make(chan struct{}); close(c); return c }()
+
+func (r *Relay) loop() {
+	for {
+		if r.kept != nil { // a process that was stopped acts by nothing that has run out meanwhile
+			r.look()
+		}
+		r.step()
+		if r.heir == nil {
+			if r.recount {
+				r.excluded, r.recount = r.chooser.Excluded(), false
+			}
+			r.figures.hold(len(r.held), len(r.hosts), r.excluded)
+		}
+		var again <-chan struct{}
+		if len(r.events) > 0 { // the step left some; nothing else may come in for long
+			again = atOnce
+		} else if conn := r.heirConn; conn != nil {
+			r.heirConn = nil
+			r.handOver(conn)
+		}
+		select {
+		case f := <-r.inbox:
+			f()
+		case <-r.wake.C:
+			r.woken = true
+		case <-again:
+		case <-r.quit:
+			r.flush()
+			return
+		}
+		for n := 1; n < batchMost; n++ {
+			select {
+			case f := <-r.inbox:
+				f()
+				continue
+			default:
+			}
+			break
+		}
+	}
+}
--- /dev/null
+++ b/internal/relay/step.go
@@ -0,0 +1,190 @@
+package relay
+
+import (
+	"log/slog"
+	"net/http"
+	"slices"
+	"time"
+
+	"larchrouter/choice"
+	"larchrouter/internal/journal"
+)
+
+// step lets the Chooser decide on what has come in, and carries its actions out.
+func (r *Relay) step() {
+	if r.heir != nil {
+		r.events = nil
+		return
+	}
+	if r.stopped {
+		r.events = nil
+		for _, m := range r.fresh {
+			r.refuse(m, comeBack)
+		}
+		r.fresh = nil
+		r.flush()
+		return
+	}
+	if r.woken {
+		r.events = append(r.events, choice.Woken{})
+	}
+	if len(r.events) == 0 {
+		r.flush()
+		return
+	}
+	events, now := r.events, r.now()
+	r.events = nil
+	r.recount = r.recount || slices.ContainsFunc(events, tellsOfHosts)
+	if r.woken {
+		r.woken, r.wakeAt = false, 0
+	}
+	var sends []choice.Send
+	for _, a := range r.chooser.Step(now, events) {
+		switch a := a.(type) {
+		case choice.Send:
+			sends = append(sends, a)
+		case choice.Refuse:
+			r.final(a.ID, deferred, min(a.After, r.set.Load().MaxRetryAfter))
+		case choice.Fail:
+			r.final(a.ID, undeliverable, 0)
+		case choice.Cancel:
+			if m := r.held[a.ID]; m != nil && m.call != nil {
+				m.call.cancel(errCalled)
+			}
+		case choice.Wake:
+			r.arm(now, a.After)
+		case choice.Health:
+			r.recount = true
+			r.record(journal.Record{Op: journal.OpHealth, ID: a.Host, Ran: a.Unwell, Base: a.Base, At: time.Now().UnixMilli()})
+		case choice.Log:
+			r.recount = true
+			slog.Info(a.Text)
+		}
+	}
+	r.flush()
+	for _, m := range r.fresh {
+		if m.over {
+			continue
+		}
+		// Only what is in the journal is taken on.
+		if err := r.journal.Append(journal.Record{Op: journal.OpTaken, Entry: m.Entry}); err != nil {
+			slog.Error("message not taken on", "err", err)
+			r.events = append(r.events, choice.Withdrawn{ID: m.ID})
+			r.refuse(m, comeBack)
+			continue
+		}
+		m.answer(answer{status: http.StatusAccepted})
+	}
+	r.fresh = r.fresh[:0]
+	r.dispatch(sends)
+}
+
+// tellsOfHosts tells whether an event may change which endpoints are avoided.
+func tellsOfHosts(e choice.Event) bool {
+	switch e.(type) {
+	case choice.Listing, choice.ByHand, choice.Unwell, choice.Memory, choice.Reconfigured:
+		return true
+	}
+	return false
+}
+
+// arm sets the timer for the earliest wake-up asked for. One that fell due, but whose tick
+// the loop has not read yet, no longer counts: the Chooser has asked anew, will not ask
+// again before that, and without the guard sleeps until something else comes in.
+func (r *Relay) arm(now, after time.Duration) {
+	if at := now + after; r.wakeAt <= now || at < r.wakeAt {
+		r.wakeAt = at
+		r.wake.Reset(after) // drops an unread tick
+	}
+}
+
+// refuse ends a message that was never taken on.
+func (r *Relay) refuse(m *message, after time.Duration) {
+	r.figures.ended(m.Class, refusedEnd)
+	m.over = true
+	delete(r.held, m.ID)
+	m.answer(answer{status: http.StatusServiceUnavailable, after: after, text: "refused"})
+}
+
+// final ends a message that the Chooser has given up, at once.
+func (r *Relay) final(id, status string, after time.Duration) {
+	switch m := r.held[id]; {
+	case m == nil:
+	case m.fresh != nil:
+		r.refuse(m, after)
+	default:
+		r.give(m, notice{id, status, after.Milliseconds()})
+	}
+}
+
+// dispatch groups the sends of one Step into calls, records them, and starts them.
+func (r *Relay) dispatch(sends []choice.Send) {
+	open := map[string]*call{}
+	var calls []*call
+	wall := time.Now().UnixMilli()
+	for _, s := range sends {
+		m, h := r.held[s.ID], r.hosts[s.Host]
+		if m == nil || h == nil || h.dest != m.Dest || h.closed.Load() {
+			r.events = append(r.events, choice.Result{ID: s.ID, Host: s.Host, Outcome: choice.NotSent})
+			continue
+		}
+		c, size := open[s.Host], frameSize(m)
+		if c == nil || len(c.members) >= h.perCall || c.size+size > maxBody { // no body may be longer
+			c = &call{host: h}
+			open[s.Host] = c
+			calls = append(calls, c)
+		}
+		c.size += size
+		c.members, c.sends = append(c.members, m), append(c.sends, s)
+	}
+	for _, c := range calls {
+		var recs []journal.Record
+		for i, m := range c.members {
+			recs = append(recs, journal.Record{Op: journal.OpTry, ID: m.ID, At: wall, Wait: c.sends[i].Timeout.Milliseconds(), Zone: c.host.zone})
+		}
+		// An attempt that a restart would not know of must not go out, nor one whose record
+		// would come before an outcome that could not be written yet.
+		err := errUnwritten
+		if len(r.records) == 0 {
+			err = r.journal.Append(recs...)
+		}
+		if err != nil {
+			slog.Error("attempts not sent", "err", err)
+			for _, s := range c.sends {
+				r.events = append(r.events, choice.Result{ID: s.ID, Host: s.Host, Outcome: choice.NotSent})
+			}
+			continue
+		}
+		r.start(c)
+	}
+}
+
+// ended takes in what became of one message's attempt.
+func (r *Relay) ended(c *call, m *message, e end, t told) {
+	if m.call != c {
+		return // its own time was up before the call's
+	}
+	m.call = nil
+	if r.heir != nil {
+		r.hostSide.Load().CloseIdleConnections() // descriptors count for both processes together
+		r.heir.send(passed{End: &endPassed{m.ID, e.outcome, e.done, t.took, t.wait, t.report, t.stale}})
+		return
+	}
+	r.events = append(r.events, choice.Result{ID: m.ID, Host: c.host.id, Outcome: e.outcome, Took: t.took, Wait: t.wait,
+		Stale: t.stale, Report: t.report, Done: e.done || e.outcome == choice.Served})
+	if m.over {
+		return
+	}
+	if e.done || e.outcome == choice.Served {
+		how := servedEnd
+		if e.outcome != choice.Served { // over at the host: out of time
+			how = failedEnd
+		}
+		r.figures.ended(m.Class, how)
+		r.record(journal.Record{Op: journal.OpEnd, ID: m.ID})
+		r.drop(m)
+		return
+	}
+	never := e.outcome == choice.Refused || e.outcome == choice.NoConnection || e.outcome == choice.NotSent
+	r.record(journal.Record{Op: journal.OpOutcome, ID: m.ID, Ran: !never})
+}
