--- a/choice/choice.go
+++ b/choice/choice.go
@@ -47,6 +47,10 @@
 			c.unwell(e)
 		case ByHand:
 			c.byHand(e)
+		case Waits:
+			if h := c.hosts[e.Host]; h != nil {
+				h.unit.waitUntil = max(h.unit.waitUntil, now+e.Left)
+			}
 		case Memory:
 			c.remember(e)
 		case Reconfigured:
--- a/internal/fleet/kept.go
+++ b/internal/fleet/kept.go
@@ -5,7 +5,6 @@
 
 import (
 	"encoding/json"
-	"errors"
 	"fmt"
 	"log/slog"
 	"slices"
@@ -16,20 +15,6 @@
 	"larchrouter/internal/settings"
 )
 
-// Config is the object fleet of a relay's configuration. Without it a relay has no part in any of this.
-type Config struct {
-	Keepers []string `json:"keepers"` // their HTTP addresses
-	Zone    string   `json:"zone,omitempty"`
-}
-
-// Check tells what is wrong.
-func (c *Config) Check() error {
-	if len(c.Keepers) == 0 || slices.Contains(c.Keepers, "") {
-		return errors.New("fleet: keepers must name one at least, and none may be empty")
-	}
-	return nil
-}
-
 // docMost bounds a generation's document at a relay, whose disk is small: two are kept, and a copy as they change.
 const docMost = 48 << 10
 
--- a/internal/fleet/session.go
+++ b/internal/fleet/session.go
@@ -32,6 +32,10 @@
 	Hear func(Heard) (have []uint64, w Word, ok bool)
 
 	Instance, Before string // as Kept has them
+	// Addr and Folder are where the relay takes copies of estates, and Owned marks the list of those that it owns as it knows
+	// it; empty and nil for a relay that takes none.
+	Addr, Folder string
+	Owned        func() string
 
 	mu    sync.Mutex
 	word  Word          // that has yet to be told; a newer one takes its place
@@ -78,6 +82,9 @@
 		wait := s.lease / 4
 		call := api.Session{Name: s.Name, Instance: s.Instance, Before: s.Before, Zone: s.Zone, Version: s.Version, Turn: turn,
 			WaitMS: time.Duration((0.75 + r.Float64()/2) * float64(wait)).Milliseconds(), Have: have}
+		if s.Owned != nil {
+			call.Addr, call.Folder, call.Estates = s.Addr, s.Folder, s.Owned()
+		}
 		cctx, cancel := context.WithTimeout(ctx, min(2*wait, wait+callIn))
 		asked := s.Now()
 		var standing api.Standing
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -3,19 +3,12 @@
 package journal
 
 import (
-	"encoding/binary"
-	"encoding/json"
 	"errors"
 	"fmt"
-	"hash/crc32"
-	"iter"
 	"log/slog"
-	"maps"
 	"os"
 	"path/filepath"
 	"time"
-
-	"larchrouter/choice"
 )
 
 // The file holds records: length, CRC32, JSON. What write(2) has taken outlasts
@@ -29,90 +22,12 @@
 	reserve    = 1 << 17 // of the budget, kept for Records of messages already held
 	// forgetUnwell is when an outage last heard of is over for a relay that starts.
 	forgetUnwell = 5 * time.Minute
+	markMost     = 4 << 10 // room for an estate's mark
 )
 
 // ErrFull says that the journal has no room for one more message.
 var ErrFull = errors.New("journal: disk budget used up")
 
-// Entry is all that is needed to send a message again, or to end it.
-type Entry struct {
-	ID     string        `json:"id"`
-	Class  string        `json:"class"`
-	Dest   int           `json:"dest"`
-	Tenant string        `json:"tenant,omitempty"`
-	Key    string        `json:"key,omitempty"`
-	Due    int64         `json:"due"`
-	Body   []byte        `json:"body,omitempty"`
-	Tries  int           `json:"tries,omitempty"`
-	Wait   int64         `json:"wait,omitempty"` // time-out of the last try, ms
-	Ran    bool          `json:"ran,omitempty"`  // an attempt may have run
-	RanAt  int64         `json:"ran_at,omitempty"`
-	Zone   int           `json:"zone,omitempty"` // of the host that may have run it
-	Out    bool          `json:"out,omitempty"`  // the last try has no outcome
-	OutAt  int64         `json:"out_at,omitempty"`
-	OutTo  int           `json:"out_to,omitempty"` // zone of its host
-	Terms  *choice.Terms `json:"terms,omitempty"`  // it came under
-	Status string        `json:"status,omitempty"` // of the notice that is owed
-	Again  int64         `json:"again,omitempty"`
-
-	size int64 // bytes that it takes in a compacted journal at most
-}
-
-// What a record tells of a message.
-const (
-	OpTaken   = "taken"   // Entry: taken on, or carried over by compaction
-	OpTry     = "try"     // an attempt is about to go
-	OpOutcome = "outcome" // it ended
-	OpNotice  = "notice"  // the message ended undelivered; its notice is owed
-	OpEnd     = "end"     // nothing more is owed
-	OpHealth  = "health"  // ID is a host: an outage was seen there (Ran), or has passed
-	OpByHand  = "hand"    // ID is a host: operators took it out (Ran), or gave it back, at At
-)
-
-// Record is one thing that happened.
-type Record struct {
-	Op     string  `json:"op"`
-	ID     string  `json:"i,omitempty"`
-	Entry  *Entry  `json:"e,omitempty"`
-	At     int64   `json:"at,omitempty"`
-	Wait   int64   `json:"w,omitempty"`
-	Zone   int     `json:"z,omitempty"`
-	Ran    bool    `json:"r,omitempty"`
-	Status string  `json:"s,omitempty"`
-	Again  int64   `json:"a,omitempty"`
-	Base   float64 `json:"b,omitempty"`
-}
-
-func frame(buf []byte, r Record) []byte {
-	payload, err := json.Marshal(r)
-	if err != nil {
-		panic(err) // no field of a record can fail
-	}
-	buf = binary.LittleEndian.AppendUint32(buf, uint32(len(payload)))
-	buf = binary.LittleEndian.AppendUint32(buf, crc32.ChecksumIEEE(payload))
-	return append(buf, payload...)
-}
-
-// unframe reads the record at the start of data and tells how long it is. A
-// torn or corrupt one is an error: where the next begins cannot be told from it.
-func unframe(data []byte) (r Record, n int, err error) {
-	if len(data) < headerSize {
-		return r, 0, errors.New("torn header")
-	}
-	size := binary.LittleEndian.Uint32(data)
-	if size > maxRecord || int(size) > len(data)-headerSize {
-		return r, 0, errors.New("torn record")
-	}
-	payload := data[headerSize : headerSize+int(size)]
-	if crc32.ChecksumIEEE(payload) != binary.LittleEndian.Uint32(data[4:]) {
-		return r, 0, errors.New("checksum differs")
-	}
-	if err := json.Unmarshal(payload, &r); err != nil {
-		return r, 0, err
-	}
-	return r, headerSize + int(size), nil
-}
-
 // Journal is one relay's, open in one process. It is not safe for concurrent use.
 type Journal struct {
 	path    string
@@ -123,14 +38,21 @@
 	entries map[string]*Entry
 	unwell  map[string]Record // hosts in an outage, or cold after it
 	byHand  map[string]Record // hosts that operators took out, or gave back not long ago
+	waits   map[string]Record // told by hosts, and not over
+	marks   map[uint64]Mark   // of estates
 	order   []string          // ids as taken on; ended ones are dropped by compaction
+	damaged bool              // what was read had other bytes than were written
 	broken  error             // a failed write could not be undone
 }
 
+func empty(path string, budget int64) *Journal {
+	return &Journal{path: path, budget: budget, entries: map[string]*Entry{}, unwell: map[string]Record{}, byHand: map[string]Record{},
+		waits: map[string]Record{}, marks: map[uint64]Mark{}}
+}
+
 // Open replays what an earlier process left and starts a compacted file.
 func Open(dir string, budget int64) (*Journal, error) {
-	j := &Journal{path: filepath.Join(dir, "journal"), budget: budget - 4*blockSize, entries: map[string]*Entry{},
-		unwell: map[string]Record{}, byHand: map[string]Record{}}
+	j := empty(filepath.Join(dir, "journal"), budget-4*blockSize)
 	// A leftover copy is of a compaction that a kill cut short: the old file still holds all.
 	if err := os.Remove(j.path + ".tmp"); err != nil && !errors.Is(err, os.ErrNotExist) {
 		return nil, err
@@ -150,6 +72,7 @@
 			}
 			slog.Warn("journal is damaged", "at", at, "bytes", skip, "err", err)
 			j.doubt()
+			j.damaged = true
 			at += skip
 			continue
 		}
@@ -163,16 +86,6 @@
 	return j, nil
 }
 
-// nextFrame finds the next sound record behind a damaged one, or returns -1.
-func nextFrame(data []byte) int {
-	for at := 1; at+headerSize < len(data); at++ {
-		if _, _, err := unframe(data[at:]); err == nil {
-			return at
-		}
-	}
-	return -1
-}
-
 // doubt takes it that each message known so far was sent, long ago, in records that are lost:
 // it may not go again where a repeat does harm, and is given back where it does none.
 func (j *Journal) doubt() {
@@ -202,6 +115,18 @@
 			j.live += slack
 		}
 		j.byHand[r.ID] = r
+	case r.Op == OpWait:
+		if _, ok := j.waits[r.ID]; !ok {
+			j.live += slack
+		}
+		j.waits[r.ID] = r
+	case r.Op == OpMark && r.Mark != nil:
+		j.mark(*r.Mark)
+	case r.Op == OpCount:
+		if m, ok := j.marks[r.Estate]; ok {
+			m.Next = max(m.Next, r.Next)
+			j.marks[r.Estate] = m
+		}
 	case r.Op == OpTaken && r.Entry != nil && j.entries[r.Entry.ID] == nil:
 		e = r.Entry
 		e.size = n + slack
@@ -241,8 +166,10 @@
 		case OpTaken:
 			grows += ends[i] + slack
 			spare = reserve
-		case OpHealth, OpByHand:
+		case OpHealth, OpByHand, OpWait:
 			grows += slack
+		case OpMark:
+			grows += markMost
 		}
 	}
 	n := int64(len(buf))
@@ -269,90 +196,3 @@
 	}
 	return nil
 }
-
-// Compact writes what is still owed to a new file and puts it in the old one's place.
-func (j *Journal) Compact() error {
-	var buf []byte
-	order := j.order[:0:0]
-	for _, id := range j.order {
-		if e := j.entries[id]; e != nil {
-			buf = frame(buf, Record{Op: OpTaken, Entry: e})
-			order = append(order, id)
-		}
-	}
-	for id, h := range j.unwell {
-		if time.Since(time.UnixMilli(h.At)) > forgetUnwell { // its host may be gone from the list since
-			j.live -= slack
-			delete(j.unwell, id)
-			continue
-		}
-		buf = frame(buf, h)
-	}
-	for id, h := range j.byHand {
-		if !h.Ran && time.Since(time.UnixMilli(h.At)) > forgetUnwell { // warm long since
-			j.live -= slack
-			delete(j.byHand, id)
-			continue
-		}
-		buf = frame(buf, h)
-	}
-	if j.size+int64(len(buf)) > j.budget {
-		// Not a file that this journal wrote, which keeps room for its copy: make room first.
-		if err := os.Remove(j.path); err != nil {
-			return fmt.Errorf("journal: %w", err)
-		}
-	}
-	f, err := os.OpenFile(j.path+".tmp", os.O_CREATE|os.O_TRUNC|os.O_RDWR, 0o600)
-	if err != nil {
-		return fmt.Errorf("journal: %w", err)
-	}
-	_, err = f.Write(buf)
-	if err == nil {
-		err = os.Rename(j.path+".tmp", j.path)
-	}
-	if err != nil {
-		f.Close()
-		os.Remove(j.path + ".tmp")
-		return fmt.Errorf("journal: %w", err)
-	}
-	if j.f != nil {
-		j.f.Close()
-	}
-	j.f, j.size, j.order, j.broken = f, int64(len(buf)), order, nil
-	return nil
-}
-
-// Break has nothing more be written: the file may be another process's by now. A compaction that goes well ends it.
-func (j *Journal) Break(err error) { j.broken = err }
-
-// Close gives the file up.
-func (j *Journal) Close() error { return j.f.Close() }
-
-// All are the messages that are owed their end or its notice, in the order in which they were taken on.
-func (j *Journal) All() iter.Seq[*Entry] {
-	return func(yield func(*Entry) bool) {
-		for _, id := range j.order {
-			if e := j.entries[id]; e != nil && !yield(e) {
-				return
-			}
-		}
-	}
-}
-
-// Entry is what is held of a message; nil if it has ended.
-func (j *Journal) Entry(id string) *Entry { return j.entries[id] }
-
-// Len is how many messages are held.
-func (j *Journal) Len() int { return len(j.entries) }
-
-// Size is the length of the file in bytes.
-func (j *Journal) Size() int64 { return j.size }
-
-// Unwell are hosts in an outage, or cold after it.
-func (j *Journal) Unwell() iter.Seq2[string, Record] { return maps.All(j.unwell) }
-
-// ByHand are hosts that operators took out, or gave back not long ago.
-func (j *Journal) ByHand() iter.Seq2[string, Record] { return maps.All(j.byHand) }
-
-// Out tells whether operators have taken a host out.
-func (j *Journal) Out(host string) bool { return j.byHand[host].Ran }
--- a/internal/keeper/api/api.go
+++ b/internal/keeper/api/api.go
@@ -4,6 +4,9 @@
 
 import (
 	"encoding/json"
+	"net/url"
+
+	estates "larchrouter/internal/estate/state"
 )
 
 // The paths. All but those with GET go to the keeper that leads; another answers 421 with where that is.
@@ -17,8 +20,12 @@
 	StatusPath      = "/v1/status"      // GET: Status of the keeper that is asked
 	RejoinPath      = "/v1/rejoin"      // POST Keeper: one whose folder is empty has no vote until it knows all again; 204
 	PromotePath     = "/v1/promote"     // POST Keeper: it does; 204
+	EstatesPath     = "/v1/estates"     // GET: all, []estates.Estate; POST estates.Event: a relay's word on its own; those it owns
 )
 
+// HeldPath is the path that tells, by GET, of which estates a relay is on record as a holder: []uint64.
+func HeldPath(holder string) string { return EstatesPath + "?holder=" + url.QueryEscape(holder) }
+
 // Session is a member's call.
 type Session struct {
 	Name     string `json:"name"`
@@ -30,6 +37,11 @@
 	WaitMS   int64  `json:"wait_ms"`           // at most so long
 	// Have are the generations whose documents it has: they are not sent again.
 	Have []uint64 `json:"have,omitempty"`
+	// Addr is where the relay takes copies of estates; Estates marks the list of those that it owns, as it knows it: the
+	// answer comes when that is another. Both are empty for a relay that copies nothing.
+	Addr    string `json:"addr,omitempty"`
+	Folder  string `json:"folder,omitempty"` // that it keeps them in
+	Estates string `json:"estates,omitempty"`
 }
 
 // Standing is what a member is to act by, and for how long.
@@ -40,6 +52,8 @@
 	Next    *Generation `json:"next,omitempty"` // prepared; act by what both allow
 	// Confirmed is the turn by which the keepers hold the member to act; 0 for none in this session.
 	Confirmed uint64 `json:"confirmed,omitempty"`
+	// Owned are the estates that the member owns, if it told of such.
+	Owned []*estates.Estate `json:"owned,omitempty"`
 }
 
 // Generation is one numbered document.
@@ -124,5 +138,6 @@
 // Problem is the body of every answer but 2xx.
 type Problem struct {
 	Error  string `json:"error"`
+	Remedy string `json:"remedy,omitempty"` // what an operator can do
 	Leader string `json:"leader,omitempty"` // with 421: the HTTP address of the keeper that leads
 }
--- a/internal/keeper/api/client.go
+++ b/internal/keeper/api/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -15,10 +16,16 @@
 type Refused struct {
 	Status int
 	Text   string
+	Advice string
 }
 
 func (r *Refused) Error() string { return fmt.Sprintf("refused (%d): %s", r.Status, r.Text) }
 
+// Remedy says what an operator can do.
+func (r *Refused) Remedy() string {
+	return cmp.Or(r.Advice, "see the keepers' logs, and whether they are of this version's neighbours")
+}
+
 // answerMost bounds what a keeper may answer: two documents of the largest size, as JSON.
 const answerMost = 40 << 20
 
@@ -128,7 +135,7 @@
 		case http.StatusServiceUnavailable:
 			return "", fmt.Errorf("%s: %s", addr, p.Error)
 		}
-		return "", &Refused{resp.StatusCode, p.Error}
+		return "", &Refused{resp.StatusCode, p.Error, p.Remedy}
 	}
 	if out == nil {
 		return "", nil
--- a/internal/keeper/http.go
+++ b/internal/keeper/http.go
@@ -9,13 +9,11 @@
 	"io"
 	"log/slog"
 	"net/http"
-	"slices"
 	"strconv"
 	"time"
 
 	"larchrouter/internal/keeper/api"
 	"larchrouter/internal/keeper/state"
-	"larchrouter/internal/settings"
 )
 
 // Bounds of what callers may ask.
@@ -104,6 +102,13 @@
 		}
 		return g, nil
 	})
+	handle("GET "+api.EstatesPath, 0, func(_ context.Context, req *http.Request, _ []byte) (any, error) {
+		if holder := req.URL.Query().Get("holder"); holder != "" {
+			return k.held(holder)
+		}
+		return k.estates("")
+	})
+	handle("POST "+api.EstatesPath, callMost, func(_ context.Context, _ *http.Request, body []byte) (any, error) { return k.estate(body) })
 	handle("GET "+api.StatusPath, 0, func(context.Context, *http.Request, []byte) (any, error) { return k.status(), nil })
 	return mux
 }
@@ -130,7 +135,12 @@
 	case errors.Is(err, state.ErrDoc), errors.Is(err, state.ErrBadEvent):
 		status, out = http.StatusBadRequest, api.Problem{Error: err.Error()}
 	default: // the state machine's word on what does not go now
-		status, out = http.StatusConflict, api.Problem{Error: err.Error()}
+		p := api.Problem{Error: err.Error()}
+		var advice interface{ Remedy() string }
+		if errors.As(err, &advice) {
+			p.Remedy = advice.Remedy()
+		}
+		status, out = http.StatusConflict, p
 	}
 	data, merr := json.Marshal(out)
 	if merr != nil {
@@ -163,180 +173,3 @@
 	}
 	return k.apply(e)
 }
-
-// session begins or renews a member's, and waits for news.
-func (k *Keeper) session(ctx context.Context, body []byte) (any, error) {
-	var c api.Session
-	if err := decode(body, &c); err != nil {
-		return nil, err
-	}
-	if c.Name == "" || c.Instance == "" || max(len(c.Name), len(c.Instance), len(c.Zone), len(c.Version)) > nameMost || c.WaitMS < 0 || len(c.Have) > 8 {
-		return nil, refuse(http.StatusBadRequest, "name or instance is empty or too long, or the wait below 0")
-	}
-	if !k.leads() {
-		return nil, errNotLeader
-	}
-	s := session{c.Name, c.Instance}
-	if !k.has(s) {
-		// Counted before it is in the state: it must not be held to have run out as it begins.
-		k.mu.Lock()
-		counted := k.leases.renew(s, time.Now())
-		k.mu.Unlock()
-		if !counted {
-			return nil, errNoSession
-		}
-		if _, err := k.apply(state.Event{Join: &state.Join{Name: c.Name, Instance: c.Instance, Before: c.Before, Zone: c.Zone, Version: c.Version}}); err != nil {
-			k.mu.Lock()
-			k.leases.ended(s)
-			k.mu.Unlock()
-			return nil, err
-		}
-	}
-	end := time.NewTimer(min(time.Duration(c.WaitMS)*time.Millisecond, waitMost, time.Duration(k.conf.Lease)/2))
-	defer end.Stop()
-	for waits := true; waits; {
-		turned := k.machine.turned()
-		turn := uint64(0)
-		k.machine.read(func(st *state.State) { turn = st.Turn })
-		if turn != c.Turn {
-			break
-		}
-		select {
-		case <-turned:
-		case <-end.C:
-			waits = false
-		case <-ctx.Done():
-			return nil, ctx.Err()
-		case <-k.quit:
-			return nil, errNotLeader
-		}
-	}
-	if err := k.renew(s); err != nil {
-		return nil, err
-	}
-	out := api.Standing{LeaseMS: time.Duration(k.conf.Lease).Milliseconds()}
-	k.machine.read(func(st *state.State) {
-		out.Turn = st.Turn
-		with := func(g *state.Generation) *api.Generation {
-			return outward(g, g != nil && !slices.Contains(c.Have, g.Number))
-		}
-		out.Force, out.Next = with(st.Force), with(st.Next)
-		for _, m := range st.Members {
-			if m.Name == c.Name && m.Instance == c.Instance {
-				out.Confirmed = m.Turn
-			}
-		}
-	})
-	return out, nil
-}
-
-// propose has a change agreed on, once it has been checked as a relay would.
-func (k *Keeper) propose(body []byte) (any, error) {
-	var p api.Proposal
-	if err := decode(body, &p); err != nil {
-		return nil, err
-	}
-	if p.Op == "" || max(len(p.Op), len(p.Who)) > nameMost || len(p.Why) > 2000 {
-		return nil, refuse(http.StatusBadRequest, "op is empty, or op, who or why too long")
-	}
-	if !k.leads() {
-		return nil, errNotLeader
-	}
-	if p.To != 0 {
-		k.machine.read(func(s *state.State) {
-			if g := s.Generation(p.To); g != nil && g.Doc != nil {
-				p.Doc = slices.Clone(g.Doc)
-			}
-		})
-		if p.Doc == nil {
-			return nil, refuse(http.StatusNotFound, "generation %d is not known, or its document no longer", p.To)
-		}
-	}
-	if err := Check(p.Doc); err != nil {
-		return nil, refuse(http.StatusBadRequest, "%v", err)
-	}
-	if p.DryRun {
-		return api.Made{}, nil
-	}
-	r, err := k.agreed(state.Event{Propose: &state.Propose{Op: p.Op, Base: p.Base, Doc: p.Doc, Who: p.Who, Why: p.Why}})
-	return api.Made{Number: r.Number}, err
-}
-
-// Document is what a generation holds.
-type Document struct {
-	// Settings is the settings object as a relay's configuration has it. A relay puts its own index and zone in.
-	Settings json.RawMessage `json:"settings"`
-}
-
-// Check tells what makes a document one that no relay could act on.
-func Check(doc json.RawMessage) error {
-	var d Document
-	if err := decode(doc, &d); err != nil {
-		return fmt.Errorf("the document: %w", err)
-	}
-	if _, err := settings.Parse(d.Settings); err != nil {
-		return fmt.Errorf("the document: settings: %w", err)
-	}
-	return nil
-}
-
-// generations are all that are remembered, the newest last, without their documents.
-func (k *Keeper) generations() []api.Generation {
-	out := []api.Generation{}
-	k.machine.read(func(s *state.State) {
-		all := slices.Clone(s.History)
-		if s.Force != nil {
-			all = append(all, s.Force)
-		}
-		if s.Next != nil {
-			all = append(all, s.Next)
-		}
-		for _, g := range append(all, s.Queue...) {
-			out = append(out, *outward(g, false))
-		}
-	})
-	slices.SortFunc(out, func(a, b api.Generation) int { return int(int64(a.Number) - int64(b.Number)) })
-	return out
-}
-
-// status is what this keeper knows.
-func (k *Keeper) status() api.Status {
-	out := api.Status{Keeper: k.conf.Name, LeaseMS: time.Duration(k.conf.Lease).Milliseconds()}
-	if out.Leads = k.verified(); !out.Leads {
-		out.AgeMS = -1
-		if r := k.raft.Load(); r != nil && !r.LastContact().IsZero() {
-			out.AgeMS = time.Since(r.LastContact()).Milliseconds()
-		}
-	}
-	out.Leader, out.Fresh = k.leader(), k.fresh()
-	k.machine.read(func(s *state.State) {
-		out.Applied, out.Turn, out.Pending = s.Applied, s.Turn, s.Pending()
-		out.Force, out.Next = outward(s.Force, false), outward(s.Next, false)
-		for _, g := range s.Queue {
-			out.Queue = append(out.Queue, *outward(g, false))
-		}
-		for _, m := range s.Members {
-			out.Members = append(out.Members, api.Member{Name: m.Name, Instance: m.Instance, Zone: m.Zone, Version: m.Version, Turn: m.Turn, LeftMS: -1})
-		}
-	})
-	if out.Leads {
-		k.mu.Lock()
-		defer k.mu.Unlock()
-		for i, m := range out.Members {
-			out.Members[i].LeftMS = k.leases.left(session{m.Name, m.Instance}, time.Now()).Milliseconds()
-		}
-	}
-	return out
-}
-
-// outward is a generation as callers see it; nil for none.
-func outward(g *state.Generation, doc bool) *api.Generation {
-	if g == nil {
-		return nil
-	}
-	out := &api.Generation{Number: g.Number, Base: g.Base, Stage: string(g.Stage), Sum: g.Sum, Who: g.Who, Why: g.Why, Reason: g.Reason}
-	if doc {
-		out.Doc = slices.Clone(g.Doc)
-	}
-	return out
-}
--- a/internal/lab/command/command.go
+++ b/internal/lab/command/command.go
@@ -177,6 +177,9 @@
 	for _, u := range r.Report.Use {
 		relays += u.CPU
 	}
+	for _, t := range r.Report.TakenOver {
+		fmt.Fprintln(out, t)
+	}
 	if a := r.Report.Agreed; a != nil {
 		fmt.Fprintln(out, "agreement:", a)
 	}
--- a/internal/lab/history/history.go
+++ b/internal/lab/history/history.go
@@ -47,7 +47,7 @@
 	Told    Kind = "told"    // discovery's answer is written at the front: Version
 	Untold  Kind = "untold"  // discovery's call failed
 	Notice  Kind = "notice"  // a notice came: ID, How, Wait
-	Proc    Kind = "proc"    // a process: Proc, How is start, ready, term, kill, stop, cont, exit or crash; Text
+	Proc    Kind = "proc"    // a process: Proc, How is start, ready, term, kill, lose, stop, cont, exit or crash; Text
 	Fault   Kind = "fault"   // How is begin or end, Text names it; State is Lossy for one of links
 	Step    Kind = "step"    // Text names it
 	ByHand  Kind = "byhand"  // an operator's call was answered: Endpoint, How is disable or enable, Status
@@ -135,6 +135,8 @@
 	Zones       map[string]string `json:"zones"`     // of each endpoint
 	Rates       []float64         `json:"rates"`     // what each destination takes from all relays, in calls a second; 0 for no limit
 	Limits      map[string]Limits `json:"limits"`    // by process
+	// TakeOver is for a lost machine's messages to be taken over: none of them is overdue before. 0 where nobody takes over.
+	TakeOver time.Duration `json:"take_over,omitempty"`
 }
 
 // Limits are a process's.
--- /dev/null
+++ b/internal/lab/rules/calls.go
@@ -0,0 +1,186 @@
+package rules
+
+import (
+	"fmt"
+	"slices"
+
+	"larchrouter/internal/lab/history"
+)
+
+// Calls at endpoints.
+
+func (c *Checker) call(e history.Event) {
+	a := &call{Event: e, zone: c.terms.Zones[e.Endpoint]}
+	c.calls[e.Call] = a
+	p := c.proc(e.Relay)
+	c.report.arrived(e)
+	c.agreed(e)
+	c.looked(Wait)
+	for _, w := range p.waits[e.Dest] {
+		if e.Whole > w.from+waitGrace && e.Whole < w.until-slack {
+			c.broken(Wait, e.Whole, e.IDs[0], fmt.Sprintf("it went to destination %d %.3f s after a wait of %.3f s was told, and %.3f s before its end",
+				e.Dest, float64(e.Whole-w.from)/1e6, float64(w.until-w.from)/1e6, float64(w.until-e.Whole)/1e6), []string{e.Relay, e.Endpoint}, e)
+			break
+		}
+	}
+	c.drained(p, e)
+	for i, id := range e.IDs {
+		m := c.msgs[id]
+		p.counts["attempts"].must.add(e.T)
+		p.counts["attempts"].may.add(e.Whole)
+		c.looked(Own)
+		switch {
+		case m == nil && e.T-e.Whole > keepFor: // a cut held it up for longer than messages are remembered
+			continue
+		case m == nil:
+			c.broken(Own, e.T, id, "no client handed it in, or its time was long over", []string{e.Relay, e.Endpoint}, e)
+			continue
+		case m.Dest != e.Dest:
+			c.broken(Own, e.T, id, fmt.Sprintf("it is for destination %d and went to one of %d", m.Dest, e.Dest), []string{e.Relay, e.Endpoint}, append(m.lines, e)...)
+		case i < len(e.Sums) && e.Sums[i] != m.Sum:
+			c.broken(Own, e.T, id, "its body or key is not what its client handed in", []string{e.Relay, e.Endpoint}, append(m.lines, e)...)
+		}
+		c.attempt(m, a)
+	}
+}
+
+// drained looks whether an endpoint may be sent anything new.
+func (c *Checker) drained(p *process, e history.Event) {
+	c.looked(Drain)
+	grace := c.terms.DrainGrace.Microseconds() + slack
+	if at, ok := p.told[e.Endpoint]; ok && e.Begun > at+grace {
+		c.broken(Drain, e.Begun, e.IDs[0], fmt.Sprintf("it went to an endpoint %.3f s after its relay was told that it drains or is gone", float64(e.Begun-at)/1e6),
+			[]string{e.Relay, e.Endpoint}, e)
+		return
+	}
+	if at, ok := p.banned[e.Endpoint]; ok && e.Begun > at+grace {
+		c.broken(Drain, e.Begun, e.IDs[0], fmt.Sprintf("it went to an endpoint %.3f s after it was taken out by hand", float64(e.Begun-at)/1e6),
+			[]string{e.Relay, e.Endpoint}, e)
+		return
+	}
+	// One that neither watches nor asks counts as told of what was listed that long ago.
+	if p.open > 0 {
+		return
+	}
+	within := c.terms.AskWithin.Microseconds()
+	if p.failed {
+		within *= 4
+	}
+	for _, ch := range c.changes {
+		if ch.Endpoint != e.Endpoint || ch.State == "active" || ch.Version <= p.version {
+			continue
+		}
+		if at := max(ch.T, p.asked) + within; e.Begun > at+grace {
+			c.broken(Drain, e.Begun, e.IDs[0], "its relay has neither watched nor asked for so long that it counts as told that the endpoint drains", []string{e.Relay, e.Endpoint}, ch, e)
+			return
+		}
+	}
+}
+
+// attempt takes in that a message is part of a call.
+func (c *Checker) attempt(m *msg, a *call) {
+	lines := func(more ...history.Event) []history.Event {
+		return append(append(slices.Clone(m.lines), a.Event), more...)
+	}
+	procs := []string{a.Relay, a.Endpoint}
+	c.looked(Attempts)
+	if n := len(m.calls) + 1; n > c.terms.MaxAttempts {
+		c.broken(Attempts, a.T, m.ID, fmt.Sprintf("this is attempt %d of %d", n, c.terms.MaxAttempts), procs, lines()...)
+	}
+	c.looked(Once)
+	if m.notice.T > 0 && a.Begun > m.notice.T+slack {
+		c.broken(Once, a.Begun, m.ID, "it was sent after its end was told: "+m.notice.How, procs, lines(m.notice)...)
+	}
+	for _, b := range m.calls {
+		c.looked(Twice)
+		if b.end == 0 || b.end > a.Whole {
+			t := &twins{m.ID, b, a}
+			b.twins, a.twins = append(b.twins, t), append(a.twins, t)
+		}
+		if b.status == 200 && !b.crossed && a.Begun > b.end+slack && !c.restarted(a.Relay, b.end, a.Begun) && !c.inherited(a.Relay, b.Relay, b.end) {
+			c.broken(Once, a.Begun, m.ID, "it was sent again after it was delivered", procs, lines(b.Event)...)
+		}
+		// A call that a cut held up comes after those that were made later.
+		first, later := b, a
+		if a.Whole < b.Whole {
+			first, later = a, b
+		}
+		if first.end > 0 && !first.mayRun() {
+			continue
+		}
+		c.looked(Repeat)
+		window := m.class.Window.Microseconds()
+		switch {
+		case m.class.Effect == "at_most_once":
+			c.broken(Repeat, later.Whole, m.ID, "it may have run, and its class may never be repeated", procs, lines(b.Event)...)
+		case m.class.Effect == "deduplicated" && later.Whole > first.Whole+window+slack:
+			c.broken(Repeat, later.Whole, m.ID, fmt.Sprintf("it was repeated %.3f s after it may have run, and repeats are dropped for %.3f s",
+				float64(later.Whole-first.Whole)/1e6, float64(window)/1e6), procs, lines(b.Event)...)
+		case m.class.Effect == "deduplicated" && m.class.SameZone && later.zone != first.zone:
+			c.broken(Repeat, later.Whole, m.ID, "it was repeated in a zone that does not know of it", procs, lines(b.Event)...)
+		}
+	}
+	m.calls = append(m.calls, a)
+	if len(m.lines) < linesMost {
+		m.lines = append(m.lines, a.Event)
+	}
+}
+
+// overlap judges two calls of one message once the ends of both are known.
+func (c *Checker) overlap(t *twins) {
+	a, b := t.a, t.b
+	if a.end == 0 || b.end == 0 {
+		return
+	}
+	if over := min(a.end, b.end) - max(a.Whole, b.Whole); over > slack {
+		c.broken(Twice, max(a.Whole, b.Whole), t.id, fmt.Sprintf("two attempts were out for %.3f s", float64(over)/1e6), []string{a.Relay, a.Endpoint, b.Endpoint},
+			a.Event, b.Event, history.Event{T: a.end, Kind: history.Gone, Call: a.Call, Status: a.status}, history.Event{T: b.end, Kind: history.Gone, Call: b.Call, Status: b.status})
+	}
+}
+
+func (c *Checker) answered(e history.Event) {
+	a := c.calls[e.Call]
+	if a == nil {
+		return
+	}
+	p := c.proc(a.Relay)
+	if a.end > 0 {
+		if e.Kind == history.Gone && e.T-a.end <= slack && !a.crossed {
+			a.crossed = true // it need not know of what the answer told
+			p.waits[a.Dest] = slices.DeleteFunc(p.waits[a.Dest], func(s span) bool { return s.from == a.end })
+			p.counts["served"].unread += len(a.IDs)
+		}
+		return
+	}
+	a.end, a.status = e.T, e.Status
+	for _, t := range a.twins {
+		c.overlap(t)
+	}
+	a.twins = nil
+	c.later(e.T+keepFor, func() { delete(c.calls, e.Call) })
+	if e.Wait > 0 {
+		w := p.waits[a.Dest]
+		w = slices.DeleteFunc(w, func(s span) bool { return s.until < e.T-keepFor })
+		p.waits[a.Dest] = append(w, span{e.T, e.T + e.Wait*ms})
+	}
+	for _, id := range a.IDs {
+		m := c.msgs[id]
+		if m == nil {
+			continue
+		}
+		if len(m.lines) < linesMost {
+			m.lines = append(m.lines, e)
+		}
+		if e.Status != 200 || m.delivered > 0 {
+			continue
+		}
+		m.delivered = e.T
+		p.counts["served"].may.add(e.T)
+		if m.taken > 0 {
+			m.want.deliver(e.T)
+			if m.notice.T == 0 { // else the relay has counted its end already
+				p.counts["served"].must.add(e.T)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/rules/estates.go
@@ -0,0 +1,89 @@
+package rules
+
+import (
+	"fmt"
+	"strings"
+
+	"larchrouter/internal/lab/history"
+)
+
+// TakenOver is how a lost machine's relay was followed by others.
+type TakenOver struct {
+	Relay string  `json:"relay"`
+	At    float64 `json:"at_s"` // when the machine was lost
+	// After is how long it was until all it held had an heir or an end, in seconds; below 0 for never.
+	After float64 `json:"after_s"`
+	Heir  string  `json:"heir,omitempty"` // that took up the last of it; empty if all had its end first
+	at    int64
+	left  map[string]bool // estates that it had, by the names of their figures, that nobody has yet
+}
+
+func (t TakenOver) String() string {
+	switch {
+	case t.After < 0:
+		return fmt.Sprintf("what %s held when it was lost at %.3f s has not been taken over", t.Relay, t.At)
+	case t.Heir == "":
+		return fmt.Sprintf("%s, lost at %.3f s, owed nothing more after %.3f s", t.Relay, t.At, t.After)
+	}
+	return fmt.Sprintf("%s, lost at %.3f s, was taken over by %s after %.3f s", t.Relay, t.At, t.Heir, t.After)
+}
+
+// takeOver is how long it may take, in microseconds; 0 where nobody takes over.
+func (c *Checker) takeOver() int64 { return c.terms.TakeOver.Microseconds() }
+
+// inherited tells whether a relay may go on with what another delivered at a time and could not tell of: it was lost, or cut
+// off, not long after, so its holders may not have heard.
+func (c *Checker) inherited(heir, from string, at int64) bool {
+	return c.takeOver() > 0 && heir != from && c.trouble > 0 && c.trouble >= at-c.takeOver()
+}
+
+// deliverer is the relay that a message was delivered by; empty for none.
+func (m *msg) deliverer() string {
+	for _, a := range m.calls {
+		if a.status == 200 {
+			return a.Relay
+		}
+	}
+	return ""
+}
+
+// lost notes that a machine has gone, with what it had.
+func (c *Checker) lost(e history.Event, p *process) {
+	p.down, p.lost = e.T, true
+	c.report.TakenOver = append(c.report.TakenOver, TakenOver{Relay: e.Proc, At: float64(e.T) / 1e6, After: -1, at: e.T, left: p.estates})
+	p.estates = nil
+}
+
+// tookOver looks whether a relay tells that it has the estate of one that was lost, or whether that owes nothing more.
+func (c *Checker) tookOver(e history.Event) {
+	estates := map[string]bool{}
+	for name, v := range e.Figures {
+		if v > 0 && strings.HasPrefix(name, "svc.estates.of.") {
+			estates[name] = true
+		}
+	}
+	if p := c.proc(e.Relay); p.down == 0 {
+		p.estates = estates
+	}
+	for i := range c.report.TakenOver {
+		t := &c.report.TakenOver[i]
+		if t.After >= 0 || e.Whole <= t.at {
+			continue
+		}
+		for name := range t.left {
+			if e.Figures[name] > 0 {
+				delete(t.left, name)
+				t.Heir = e.Relay
+			}
+		}
+		has := t.Heir != "" && len(t.left) == 0
+		owes := false
+		for _, m := range c.msgs {
+			owes = owes || m.Relay == t.Relay && m.taken > 0 && m.T < t.at && m.delivered == 0 && m.notice.T == 0
+		}
+		if !has && owes {
+			continue
+		}
+		t.After = float64(e.T-t.at) / 1e6
+	}
+}
--- /dev/null
+++ b/internal/lab/rules/messages.go
@@ -0,0 +1,156 @@
+package rules
+
+import (
+	"fmt"
+
+	"larchrouter/internal/lab/history"
+)
+
+// Messages: what clients heard, and how they ended.
+
+func (c *Checker) hand(e history.Event) {
+	m := &msg{Event: e, class: c.classes[e.Class], due: e.T + e.Left*ms, lines: []history.Event{e}}
+	if m.class == nil {
+		return
+	}
+	m.want = c.wants[e.First]
+	if m.want == nil {
+		m.want = &want{at: e.T, class: m.class, tenant: e.Tenant}
+		c.wants[e.First] = m.want
+		c.later(e.T+c.longest+keepFor, func() { c.settle(e.First) })
+	}
+	m.want.ids++
+	c.msgs[e.ID] = m
+	c.later(m.due+endSlack, func() { c.overdue(m) })
+}
+
+func (c *Checker) heard(e history.Event) {
+	m := c.msgs[e.ID]
+	if m == nil || m.left {
+		return
+	}
+	m.lines = append(m.lines, e)
+	p := c.proc(e.Relay)
+	switch {
+	case e.Status == 200 || e.Status == 202:
+		m.taken = e.T
+		if m.delivered > 0 {
+			m.want.deliver(m.delivered)
+			p.counts["served"].must.add(m.delivered)
+		}
+	case e.Status == 429 || e.Status == 503:
+		m.refused, m.want.refused = true, true
+		p.counts["refused"].must.add(e.T)
+		p.counts["refused"].may.add(e.T)
+		c.handedBack(m, e)
+	default:
+		m.want.failed = true
+		p.counts["failed"].may.add(e.T)
+	}
+}
+
+// handedBack looks whether a message may be handed in again, as its client was told.
+func (c *Checker) handedBack(m *msg, e history.Event) {
+	c.looked(Repeat)
+	for _, a := range m.calls {
+		if a.end > 0 && !a.mayRun() {
+			continue
+		}
+		if m.class.Effect == "at_most_once" || m.class.Effect == "deduplicated" && m.class.SameZone {
+			c.broken(Repeat, e.T, m.ID, "it may have run, and its client was told to hand it in again", []string{e.Relay}, append(m.lines, a.Event)...)
+			return
+		}
+	}
+}
+
+func (w *want) deliver(at int64) {
+	if w.delivered == 0 || at < w.delivered {
+		w.delivered = at
+	}
+}
+
+func (c *Checker) noticed(e history.Event) {
+	c.looked(Once)
+	m := c.msgs[e.ID]
+	if m == nil {
+		return // of a message that was over long ago: it does no harm
+	}
+	procs := []string{e.Relay}
+	switch {
+	case m.notice.T > 0 && m.notice.How != e.How:
+		c.broken(Once, e.T, m.ID, fmt.Sprintf("it has ended as %s and as %s", m.notice.How, e.How), procs, append(m.lines, m.notice, e)...)
+	case m.notice.T > 0: // told again, for the answer was not heard
+		return
+	case m.delivered > 0 && !m.crossed() && e.T > m.delivered+slack && !c.restarted(e.Relay, m.delivered, e.T) && !c.inherited(e.Relay, m.deliverer(), m.delivered):
+		c.broken(Once, e.T, m.ID, fmt.Sprintf("it was delivered, and %.3f s later told to be %s", float64(e.T-m.delivered)/1e6, e.How), procs, append(m.lines, e)...)
+	}
+	m.notice = e
+	if len(m.lines) < linesMost {
+		m.lines = append(m.lines, e)
+	}
+	p := c.proc(e.Relay)
+	if m.delivered > 0 && m.taken > 0 { // its time was up as the answer came, and it was counted so
+		p.counts["served"].unread++
+	}
+	if e.How == "deferred" {
+		c.handedBack(m, e)
+		m.want.refused = true
+		p.counts["refused"].may.add(e.T)
+		if !m.left {
+			p.counts["refused"].must.add(e.T)
+		}
+	} else {
+		m.want.failed = true
+		p.counts["failed"].may.add(e.T)
+		if !m.left {
+			p.counts["failed"].must.add(e.T)
+		}
+	}
+}
+
+// restarted tells whether a relay's process ended or began between two times.
+func (c *Checker) restarted(relay string, from, to int64) bool {
+	p := c.proc(relay)
+	return p.down > 0 && p.down <= to || p.resumed > 0 && p.resumed >= from-restart
+}
+
+// overdue looks whether a message that was taken on has its end, once it should.
+func (c *Checker) overdue(m *msg) {
+	p := c.proc(m.Relay)
+	if m.taken == 0 {
+		c.forget(m)
+		return
+	}
+	// What is in a relay that restarts is not overdue until some time after it serves again.
+	if p.down > 0 && !(p.lost && c.now > p.down+c.takeOver()) {
+		c.later(c.now+500*ms, func() { c.overdue(m) })
+		return
+	}
+	allowed := m.due + m.unread + endSlack
+	if p.ready > m.taken {
+		allowed = max(allowed, p.ready+restart+slack)
+	}
+	if over := c.takeOver(); over > 0 && c.trouble > 0 && c.trouble <= allowed {
+		allowed = max(allowed, c.trouble+over)
+	}
+	if c.now < allowed {
+		c.later(allowed, func() { c.overdue(m) })
+		return
+	}
+	c.looked(End)
+	ended := m.delivered
+	if m.notice.T > 0 && (ended == 0 || m.notice.T < ended) {
+		ended = m.notice.T
+	}
+	switch {
+	case ended == 0:
+		c.broken(End, allowed, m.ID, "it was taken on, its time is up, and it has no end", []string{m.Relay}, m.lines...)
+		c.report.Lost++
+	case ended > allowed:
+		c.broken(End, ended, m.ID, fmt.Sprintf("its end came %.3f s late", float64(ended-allowed)/1e6), []string{m.Relay}, m.lines...)
+	}
+	c.forget(m)
+}
+
+// forget drops a message some time after it is over: until then it may yet be sent where it must not be.
+func (c *Checker) forget(m *msg) { c.later(c.now+keepFor, func() { delete(c.msgs, m.ID) }) }
--- /dev/null
+++ b/internal/lab/rules/processes.go
@@ -0,0 +1,162 @@
+package rules
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"strings"
+
+	"larchrouter/internal/lab/history"
+)
+
+// Relays: what they were told, how they ran, what they tell of themselves.
+
+func (c *Checker) told(e history.Event) {
+	p := c.proc(e.Relay)
+	if e.How != "between watches" && e.How != "configuration" {
+		p.open = max(0, p.open-1)
+	}
+	p.failed = false
+	for _, ch := range c.changes {
+		if ch.Version <= p.version || ch.Version > e.Version {
+			continue
+		}
+		if ch.State == "active" {
+			delete(p.told, ch.Endpoint)
+		} else if _, ok := p.told[ch.Endpoint]; !ok {
+			p.told[ch.Endpoint] = e.T
+		}
+	}
+	p.version = max(p.version, e.Version)
+}
+
+func (c *Checker) process(e history.Event) {
+	if !strings.HasPrefix(e.Proc, "relay/") {
+		return
+	}
+	p := c.proc(e.Proc)
+	c.looked(Process)
+	if e.How != "start" && e.How != "exit" {
+		c.trouble = e.T
+	}
+	switch e.How {
+	case "start":
+		p.starts++
+		p.lost = false
+		if e.Text != "beside" {
+			p.waits = map[int][]span{} // a restart ends them
+		}
+		p.open = 0
+	case "ready", "cont":
+		if p.starts > 1 || e.How == "cont" {
+			p.resumed = e.T
+		}
+		if e.How == "cont" && p.down > 0 {
+			for _, m := range c.msgs {
+				if m.Relay == e.Proc && m.taken == 0 && m.T <= e.T {
+					m.unread = e.T - max(m.T, p.down)
+				}
+			}
+		}
+		for _, told := range []map[string]int64{p.told, p.banned} {
+			for name, at := range told { // one that is stopped hears nothing until it goes on
+				if p.down > 0 && at >= p.down {
+					told[name] = e.T
+				}
+			}
+		}
+		p.down, p.ready = 0, e.T
+	case "stop":
+		p.down = e.T
+	case "term", "kill":
+		if e.Text != "handed over" {
+			p.down = e.T
+		}
+	case "lose":
+		c.lost(e, p)
+	case "crash":
+		p.down = e.T
+		c.broken(Process, e.T, "", cmp.Or(e.Text, "it ended unasked"), []string{e.Proc}, e)
+	}
+}
+
+func (c *Checker) fell(e history.Event) {
+	c.looked(Cold)
+	var knew, all float64
+	for who, load := range e.Figures {
+		all += load
+		if strings.HasPrefix(who, "knew:") {
+			knew += load
+		}
+	}
+	if all > 0 && knew >= all*2/3 {
+		c.broken(Cold, e.T, "", fmt.Sprintf("destination %d, back and cold, was pushed over by relays that had seen it fail: %s", e.Dest, e.Text), nil, e)
+	}
+}
+
+// stranger looks whether a peer that is no client got what it is owed. One that a stop, a restart or an end of the
+// relay came between is not judged.
+func (c *Checker) stranger(e history.Event) {
+	p := c.proc(e.Relay)
+	if p.down > 0 || p.resumed >= e.Begun {
+		return
+	}
+	c.looked(Strange)
+	took := e.T - e.Begun
+	switch {
+	case e.Status > 0 && e.Status < 400:
+		c.broken(Strange, e.T, "", fmt.Sprintf("a peer that sent %s was answered %d", e.How, e.Status), []string{e.Relay}, e)
+	case e.State == "waits" || took > e.Left*ms+slack:
+		c.broken(Strange, e.T, "", fmt.Sprintf("a peer that sent %s had neither an error nor a close after %.3f s", e.How, float64(took)/1e6), []string{e.Relay}, e)
+	}
+}
+
+func (c *Checker) sample(e history.Event) {
+	limits, ok := c.terms.Limits[e.Proc]
+	if !ok {
+		return
+	}
+	c.looked(Process)
+	for name, most := range map[string]float64{"memory_mb": limits.MemoryMB, "descriptors": limits.Sockets, "disk_mb": limits.DiskMB} {
+		if v := e.Figures[name]; v > most {
+			c.broken(Process, e.T, "", fmt.Sprintf("%s is %.1f, of %.1f", name, v, most), []string{e.Proc}, e)
+		}
+	}
+	c.report.use(e)
+}
+
+// figures holds what a relay tells of itself against what was seen. Only of one that has run from the start are
+// all counts known.
+func (c *Checker) figures(e history.Event) {
+	p := c.proc(e.Relay)
+	if p.starts != 1 || p.resumed > e.Whole-2*lag { // one that stood still has yet to read what came meanwhile
+		return
+	}
+	// A message may be counted a little before its end is seen.
+	c.later(e.T+lag, func() { c.compare(p, e) })
+}
+
+func (c *Checker) compare(p *process, e history.Event) {
+	c.looked(Figures)
+	told := map[string]float64{"attempts": e.Figures["svc.attempts"]}
+	for name, v := range e.Figures {
+		for _, end := range []string{"served", "refused", "failed"} {
+			if strings.HasPrefix(name, "svc.requests.") && strings.HasSuffix(name, "."+end) {
+				told[end] += v
+			}
+		}
+	}
+	for name, k := range p.counts {
+		part := 0.01
+		if name == "attempts" {
+			part = 0.02
+		}
+		least, most := float64(max(0, k.must.at(e.Whole-lag)-k.unread)), float64(k.may.at(e.T+lag))
+		if name == "attempts" && c.lossy {
+			most = math.Inf(1)
+		}
+		if v := told[name]; v < least-max(3, part*least) || v > most+max(3, part*most) {
+			c.broken(Figures, e.T, "", fmt.Sprintf("%s is told to be %.0f and is %.0f to %.0f", name, v, least, most), []string{e.Relay}, e)
+		}
+	}
+}
--- a/internal/lab/rules/report.go
+++ b/internal/lab/rules/report.go
@@ -14,28 +14,29 @@
 
 // Report is what a history shows.
 type Report struct {
-	Broken  map[Rule]int    `json:"broken"`
-	Looked  map[Rule]int    `json:"looked"` // how often each rule was looked at: what was never tried is not shown to hold
-	Shown   []Broken        `json:"shown,omitempty"`
-	Served  float64         `json:"served"` // worth delivered over the worth asked for
-	Asked   int             `json:"asked"`
-	InTime  int             `json:"in_time"`
-	Late    int             `json:"late"`
-	Refused int             `json:"refused"`
-	Failed  int             `json:"failed"`
-	Unheard int             `json:"unheard"` // no relay answered in time
-	Lost    int             `json:"lost"`
-	Owed    int             `json:"owed"` // taken on by a relay that was down at the end
-	Latency Latency         `json:"latency_ms"`
-	Seconds []Second        `json:"seconds"`
-	Use     map[string]*Use `json:"use"`
-	Agreed  *Agreed         `json:"agreed,omitempty"` // nil where relays share nothing
-	Calls   map[int]*Series `json:"calls"`            // that reached each destination, by second
-	Limits  map[int][]Limit `json:"limits"`           // of each destination, in calls a second
-	Held    *Series         `json:"held"`             // messages by all relays that told, by second
-	worth   float64
-	got     float64
-	hist    *hdrhistogram.Histogram
+	Broken    map[Rule]int    `json:"broken"`
+	Looked    map[Rule]int    `json:"looked"` // how often each rule was looked at: what was never tried is not shown to hold
+	Shown     []Broken        `json:"shown,omitempty"`
+	Served    float64         `json:"served"` // worth delivered over the worth asked for
+	Asked     int             `json:"asked"`
+	InTime    int             `json:"in_time"`
+	Late      int             `json:"late"`
+	Refused   int             `json:"refused"`
+	Failed    int             `json:"failed"`
+	Unheard   int             `json:"unheard"` // no relay answered in time
+	Lost      int             `json:"lost"`
+	Owed      int             `json:"owed"` // taken on by a relay that was down at the end
+	Latency   Latency         `json:"latency_ms"`
+	Seconds   []Second        `json:"seconds"`
+	Use       map[string]*Use `json:"use"`
+	Agreed    *Agreed         `json:"agreed,omitempty"`     // nil where relays share nothing
+	TakenOver []TakenOver     `json:"taken_over,omitempty"` // machines that were lost
+	Calls     map[int]*Series `json:"calls"`                // that reached each destination, by second
+	Limits    map[int][]Limit `json:"limits"`               // of each destination, in calls a second
+	Held      *Series         `json:"held"`                 // messages by all relays that told, by second
+	worth     float64
+	got       float64
+	hist      *hdrhistogram.Histogram
 }
 
 // Latency is the time from a message's handing-in to its delivery, in milliseconds.
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -54,6 +54,8 @@
 	Keepers  int      `toml:"keepers"`
 	Zones    []string `toml:"zones"`
 	Lease    Duration `toml:"lease"`
+	Copies   int      `toml:"copies"`    // further relays that hold what one holds; 0 for none
+	Short    string   `toml:"short"`     // what a relay does without them: refuse or own-disk
 	MemoryMB float64  `toml:"memory-mb"` // limits of each relay
 	Sockets  int      `toml:"sockets"`
 	DiskMB   float64  `toml:"disk-mb"`
@@ -111,6 +113,8 @@
 type Expect struct {
 	Served        *float64  `toml:"served"`
 	Contradiction *Duration `toml:"contradiction"`
+	Promised      *int      `toml:"promised"`   // most messages taken on that got no end
+	TakenOver     *Duration `toml:"taken-over"` // longest from a machine's loss until all it held has an heir or an end
 	OverBudget    *float64  `toml:"over-budget"`
 	OutRelays     *int      `toml:"out-relays"`
 	OutEndpoints  *int      `toml:"out-endpoints"`
@@ -119,7 +123,7 @@
 // The kinds of fault: those of links, of processes, of partners and of discovery.
 var (
 	linkFaults    = []string{"cut", "drop", "delay", "slow", "reset", "halfopen", "refuse", "lateclose"}
-	processFaults = []string{"pause", "kill", "term", "upgrade"}
+	processFaults = []string{"pause", "kill", "term", "upgrade", "lose", "rollback"}
 	partnerFaults = []string{"outage", "shut", "errors", "slow", "limit", "garble"}
 	listFaults    = []string{"outage", "late-list"}
 	steps         = []string{"settings", "list", "drain", "ban", "unban"}
@@ -220,6 +224,15 @@
 	if len(s.Fleet.Zones) == 0 || slices.Contains(s.Fleet.Zones, "") {
 		bad("fleet.zones", "must name one zone at least, and none may be empty")
 	}
+	if s.Fleet.Copies < 0 || s.Fleet.Copies > 4 {
+		bad("fleet.copies", "is %d, must be 0 to 4", s.Fleet.Copies)
+	}
+	if s.Fleet.Copies > 0 && s.Fleet.Keepers == 0 {
+		bad("fleet.copies", "needs fleet.keepers: they agree on who holds what")
+	}
+	if !slices.Contains([]string{"", "refuse", "own-disk"}, s.Fleet.Short) {
+		bad("fleet.short", "is %q, must be refuse or own-disk", s.Fleet.Short)
+	}
 	within("fleet.memory-mb", s.Fleet.MemoryMB, 8, 1<<20)
 	within("fleet.sockets", float64(s.Fleet.Sockets), 32, 1<<20)
 	within("fleet.disk-mb", s.Fleet.DiskMB, 0.1, 1<<20)
@@ -268,6 +281,9 @@
 	if s.Expect.Contradiction != nil && s.Fleet.Keepers == 0 {
 		bad("expect.contradiction", "needs fleet.keepers: relays without act by what each is told")
 	}
+	if s.Expect.TakenOver != nil && s.Fleet.Copies == 0 {
+		bad("expect.taken-over", "needs fleet.copies: nobody takes over without")
+	}
 	for key, set := range map[string]bool{"over-budget": s.Expect.OverBudget != nil,
 		"out-relays": s.Expect.OutRelays != nil, "out-endpoints": s.Expect.OutEndpoints != nil} {
 		if set {
@@ -277,6 +293,15 @@
 	return errors.Join(all...)
 }
 
+// TakeOver is for what a lost machine held to be taken over, as the rules allow: a lease and what clocks differ by, the time
+// in which relays hear of it and ask holders, and what is slower on a busy machine. 0 where nobody takes over.
+func TakeOver(s *Scenario) time.Duration {
+	if s.Fleet.Copies == 0 {
+		return 0
+	}
+	return time.Duration(s.Fleet.Lease)*101/100 + 3*time.Second
+}
+
 func (s *Scenario) checkFault(f Fault) error {
 	from, err := s.party(f.From)
 	if err != nil {
@@ -301,7 +326,10 @@
 	case f.To != "":
 		return fmt.Errorf("%q is nothing that is wrong with a link (%s); without \"to\" it is of the party itself", f.Kind, strings.Join(linkFaults, ", "))
 	case from.kind == "relay" && is(processFaults):
-	case from.kind == "keeper" && is(processFaults) && f.Kind != "upgrade":
+		if f.Kind == "rollback" && (f.By == 0 || f.By > f.At) {
+			return errors.New("rollback needs by: how old the folder is, and no older than the run")
+		}
+	case from.kind == "keeper" && is(processFaults[:3]):
 	case from.kind == "endpoint" && is(partnerFaults):
 		if (f.Kind == "errors" || f.Kind == "garble") && !(f.Part > 0 && f.Part <= 1) || f.Kind == "slow" && f.Part <= 1 || f.Kind == "limit" && !(f.Part > 0) {
 			return fmt.Errorf("%s needs part: errors and garble a share above 0, slow a factor above 1, limit a factor above 0", f.Kind)
@@ -313,7 +341,7 @@
 	default:
 		return fmt.Errorf("%q is nothing that is wrong with %q", f.Kind, f.From)
 	}
-	if f.For == 0 && f.Kind != "kill" && f.Kind != "term" && f.Kind != "upgrade" {
+	if f.For == 0 && f.Kind != "kill" && f.Kind != "term" && f.Kind != "upgrade" && f.Kind != "lose" && f.Kind != "rollback" {
 		return fmt.Errorf("%s needs for: how long it lasts", f.Kind)
 	}
 	return nil
--- a/internal/relay/admin.go
+++ b/internal/relay/admin.go
@@ -41,7 +41,7 @@
 }
 
 func (r *Relay) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if !r.ready.Load() {
+	if !r.ready.Load() || r.draining.Load() {
 		http.Error(w, "not ready", http.StatusServiceUnavailable)
 		return
 	}
@@ -96,7 +96,7 @@
 	case h == nil && !r.isOut(id):
 		return errNoHost
 	}
-	if err := r.journal.Append(journal.Record{Op: journal.OpByHand, ID: id, Ran: out, At: time.Now().UnixMilli()}); err != nil {
+	if err := r.bind([]journal.Record{{Op: journal.OpByHand, ID: id, Ran: out, At: time.Now().UnixMilli()}}, 0, nil); err != nil {
 		slog.Error("not taken out or given back", "endpoint", id, "err", err)
 		return err
 	}
--- a/internal/relay/bequeath.go
+++ b/internal/relay/bequeath.go
@@ -73,6 +73,7 @@
 	r.records, r.untold = nil, nil
 	r.journal.Close()
 	r.heirs.Close()
+	r.endCopies()
 	r.endPlatform()
 	r.tcp.Close()                            // the next process has the socket, and all in its queue
 	r.hostSide.Load().CloseIdleConnections() // descriptors count for both processes together
@@ -96,7 +97,7 @@
 	if _, _, err := conn.WriteMsgUnix([]byte{'\n'}, syscall.UnixRights(int(file.Fd())), nil); err != nil {
 		return nil, fmt.Errorf("listener: %w", err)
 	}
-	if err := json.NewEncoder(conn).Encode(r.estate()); err != nil {
+	if err := json.NewEncoder(conn).Encode(r.bequest()); err != nil {
 		return nil, err
 	}
 	word := make([]byte, len(handoverTaken))
@@ -112,8 +113,11 @@
 	return newLink(conn, json.NewDecoder(conn)), nil
 }
 
-func (r *Relay) estate() estate {
-	e := estate{Version: r.version, Memory: r.chooser.Memory(r.now()), Past: r.past.all(), Peers: r.listener.count()}
+func (r *Relay) bequest() bequest {
+	e := bequest{Version: r.version, Memory: r.chooser.Memory(r.now()), Past: r.past.all(), Peers: r.listener.count()}
+	if r.copies != nil {
+		e.Writer = r.copies.writer(r.kept.Instance)
+	}
 	listed := map[string]bool{}
 	for id, h := range r.hosts {
 		e.Servers = append(e.Servers, h.entry)
@@ -174,3 +178,27 @@
 	at := r.passedAt.Load()
 	return at > 0 && time.Since(time.Unix(0, at)) > lateCall
 }
+
+// endCopies leaves estates, copies and the fleet address to the next process.
+func (r *Relay) endCopies() {
+	c := r.copies
+	if c == nil {
+		return
+	}
+	for _, s := range c.streams {
+		s.Close()
+		s.gates = nil
+	}
+	if h := c.holder.Load(); h != nil {
+		h.Close()
+	}
+}
+
+// takeDeferred takes on what came while the next process asked.
+func (r *Relay) takeDeferred() {
+	all := r.deferred
+	r.deferred = nil
+	for _, in := range all {
+		r.take(in)
+	}
+}
--- a/internal/relay/books.go
+++ b/internal/relay/books.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"log/slog"
+	"math"
 	"slices"
 	"time"
 
@@ -42,40 +43,16 @@
 	untold  []notice // go out once they are recorded
 	owed    int      // notices
 	notices chan notice
+	copies  *copying // nil in a relay that copies nothing
 }
 
-// restore takes up what the journal holds.
+// restore takes up what the journal holds. What is in an estate waits until that is known to be this relay's still.
 func (r *Relay) restore() {
 	wall := time.Now().UnixMilli()
-	ms := func(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
 	for e := range r.journal.All() {
-		id := e.ID
-		if e.Status != "" {
-			r.owe(notice{e.ID, e.Status, e.Again})
-			continue
-		}
-		if e.Out && r.heritage.callOf(id) == nil {
-			// The process died before the outcome was recorded: it may have run.
-			r.record(journal.Record{Op: journal.OpOutcome, ID: id, Ran: true})
-		}
-		class := r.set.Load().class(e.Class, 0)
-		if class < 0 && e.Terms == nil { // taken on by a version that did not record them
-			r.give(&message{Entry: e}, notice{e.ID, undeliverable, 0})
-			continue
-		}
-		m := &message{Entry: e, due: r.now() + ms(e.Due-wall)}
-		r.held[id] = m
-		adopted := r.heritage.callOf(id)
-		ev := choice.Restored{Arrival: choice.Arrival{ID: id, Class: class, Dest: e.Dest, Left: ms(e.Due - wall),
-			Tenant: slices.Index(r.set.Load().TenantNames, e.Tenant)}, Terms: e.Terms,
-			Attempts: e.Tries, Timeout: ms(e.Wait), Ran: e.Ran, RanAgo: ms(wall - e.RanAt), RanZone: e.Zone}
-		if adopted != nil {
-			m.call = adopted
-			ev.Out = &choice.Running{Host: adopted.host.id, Call: adopted.number, Ago: time.Since(adopted.began)}
-		} else if e.Out && !e.Ran {
-			ev.Ran, ev.RanAgo, ev.RanZone = true, ms(wall-e.OutAt), e.OutTo
+		if r.copies == nil || e.Estate == 0 || r.copies.streams[e.Estate] != nil {
+			r.takeUpNow(e, false)
 		}
-		r.events = append(r.events, ev)
 	}
 	for id, s := range r.journal.Unwell() {
 		if r.heritage != nil { // the decisions remember more
@@ -84,11 +61,47 @@
 		r.events = append(r.events, choice.Unwell{Host: id, Base: s.Base})
 	}
 	for id, h := range r.journal.ByHand() {
-		r.events = append(r.events, choice.ByHand{Host: id, Out: h.Ran, Ago: ms(max(1, wall-h.At))})
+		r.events = append(r.events, choice.ByHand{Host: id, Out: h.Ran, Ago: time.Duration(max(1, wall-h.At)) * time.Millisecond})
 	}
 	slog.Info("journal replayed", "held", len(r.held), "owed", r.owed)
 }
 
+// takeUpNow has a message go on where the process before left it. Last says that it may not be tried any more.
+func (r *Relay) takeUpNow(e *journal.Entry, last bool) {
+	wall := time.Now().UnixMilli()
+	ms := func(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+	id := e.ID
+	if e.Status != "" {
+		r.owe(notice{e.ID, e.Status, e.Again})
+		return
+	}
+	if e.Out && r.heritage.callOf(id) == nil {
+		// The process died before the outcome was recorded: it may have run.
+		r.record(journal.Record{Op: journal.OpOutcome, ID: id, Ran: true})
+	}
+	class := r.set.Load().class(e.Class, 0)
+	if class < 0 && e.Terms == nil { // taken on by a version that did not record them
+		r.give(&message{Entry: e}, notice{e.ID, undeliverable, 0})
+		return
+	}
+	m := &message{Entry: e, due: r.now() + ms(e.Due-wall)}
+	r.held[id] = m
+	adopted := r.heritage.callOf(id)
+	ev := choice.Restored{Arrival: choice.Arrival{ID: id, Class: class, Dest: e.Dest, Left: ms(e.Due - wall),
+		Tenant: slices.Index(r.set.Load().TenantNames, e.Tenant)}, Terms: e.Terms,
+		Attempts: e.Tries, Timeout: ms(e.Wait), Ran: e.Ran, RanAgo: ms(wall - e.RanAt), RanZone: e.Zone}
+	if adopted != nil {
+		m.call = adopted
+		ev.Out = &choice.Running{Host: adopted.host.id, Call: adopted.number, Ago: time.Since(adopted.began)}
+	} else if e.Out && !e.Ran {
+		ev.Ran, ev.RanAgo, ev.RanZone = true, ms(wall-e.OutAt), e.OutTo
+	}
+	if last {
+		ev.Attempts = math.MaxInt32
+	}
+	r.events = append(r.events, ev)
+}
+
 func (r *Relay) record(rec journal.Record) { r.records = append(r.records, rec) }
 
 // owe has a notice told once what it says is recorded.
@@ -123,18 +136,30 @@
 	if r.heir != nil {
 		return // the journal is the next process's
 	}
+	var tell func(counts bool)
+	if len(r.untold) > 0 {
+		untold := r.untold
+		tell = func(counts bool) {
+			if !counts { // another relay ends them
+				r.owed -= len(untold)
+				return
+			}
+			for _, n := range untold {
+				r.notices <- n // holds more than can be owed
+			}
+		}
+	}
 	if len(r.records) > 0 {
-		if err := r.journal.Append(r.records...); err != nil {
+		if err := r.bind(r.records, 0, tell); err != nil {
 			slog.Error("not recorded", "records", len(r.records), "err", err)
 			time.AfterFunc(discovery.LongPause, func() { r.post(func() {}) })
 			return
 		}
 		r.records = r.records[:0]
+	} else if tell != nil {
+		tell(true)
 	}
-	for _, n := range r.untold {
-		r.notices <- n // holds more than can be owed
-	}
-	r.untold = r.untold[:0]
+	r.untold = nil
 }
 
 // all has the ids, the oldest first.
--- a/internal/relay/calls.go
+++ b/internal/relay/calls.go
@@ -35,7 +35,8 @@
 	timeout time.Duration // the longest of its members'
 	before  time.Time     // its last byte must be written by then; zero for at any time
 	cancel  context.CancelCauseFunc
-	agreed  *acting // by what it was decided; nil for a relay that shares nothing
+	agreed  *acting   // by what it was decided; nil for a relay that shares nothing
+	fresh   time.Time // by which it must begin to go out, or an heir may not know that it is over; zero for at any time
 }
 
 // told is what a call tells of its host, whatever became of the messages.
@@ -202,6 +203,9 @@
 	return all(choice.Reset), t
 }
 
+// over tells whether a time has come; the zero time never does.
+func over(at time.Time) bool { return !at.IsZero() && !time.Now().Before(at) }
+
 // send writes one request. On an error, never tells that its last byte
 // certainly did not go out; unsure counts as gone.
 func (r *Relay) send(ctx context.Context, c *call, ids []string) (
@@ -217,7 +221,7 @@
 			// wait by now, and no repeat that its host would no longer know for one. The deadline holds
 			// for what a slow host leaves unread of it, and a kept connection still has that of the call
 			// before.
-			expired := !c.before.IsZero() && !time.Now().Before(c.before)
+			expired := over(c.before) || over(c.fresh)
 			if gated = c.host.closed.Load() || c.host.waiting.left(r.now()) > 0 || r.late() || expired || c.agreed.over(r.now()); gated {
 				i.Conn.Close()
 				return
--- /dev/null
+++ b/internal/relay/copies.go
@@ -0,0 +1,375 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"larchrouter/choice"
+	"larchrouter/internal/estate"
+	"larchrouter/internal/estate/state"
+	"larchrouter/internal/fleet"
+	"larchrouter/internal/journal"
+	"larchrouter/internal/keeper/api"
+)
+
+// What the relay holds for others is copied to further relays, and what binds it counts only once it is there: the relay's
+// part of package estate. docs/estates.md has the design.
+
+const (
+	// countIn is for a message's record to count: its client waits 400 ms for the answer.
+	countIn = 300 * time.Millisecond
+	// freshIn is for a call to go out, from when its record was written. An heir waits as long before it tries again.
+	freshIn = 500 * time.Millisecond
+	// copiesPart is the part of the folder's disk that is for copies of other relays' records.
+	copiesPart = 0.5
+	// bindIn is for the fleet address to become free: in an upgrade the process before this one has it for a moment.
+	bindIn = 5 * time.Second
+)
+
+// copying is the part of the books that is copied. It belongs to the loop; nil in a relay that copies nothing.
+type copying struct {
+	conf    fleet.Config
+	owner   *estate.Owner
+	client  *http.Client
+	main    uint64 // estate that takes on new messages; 0 for none yet
+	streams map[uint64]*stream
+	poked   atomic.Bool // the loop is to look at what counts
+	looks   bool        // and will do so in a while
+	adopted string      // writer that the process before this one was, in an upgrade
+	holder  atomic.Pointer[estate.Holder]
+	begun   chan struct{} // closed once new messages can be copied
+}
+
+// stream is one estate that this relay writes.
+type stream struct {
+	*estate.Stream
+	estate state.Estate
+	gates  []*gate
+	short  time.Duration // since when too few holders have a copy; 0 while they do
+}
+
+// gate is something that waits until records count.
+type gate struct {
+	next uint64        // number after them
+	at   time.Duration // when they were written
+	most time.Duration // after which it is given up; 0 for never
+	do   func(counts bool)
+}
+
+// newCopying is nil where the configuration asks for no copies.
+func newCopying(conf *fleet.Config) *copying {
+	if conf == nil || conf.Copies == 0 {
+		return nil
+	}
+	return &copying{conf: *conf, streams: map[uint64]*stream{}, begun: make(chan struct{})}
+}
+
+// estateOf is the estate that a record belongs to.
+func (r *Relay) estateOf(rec journal.Record) uint64 {
+	switch rec.Op {
+	case journal.OpTaken:
+		return rec.Entry.Estate
+	case journal.OpByHand, journal.OpWait:
+		return r.copies.main
+	}
+	if e := r.journal.Entry(rec.ID); e != nil {
+		return e.Estate
+	}
+	return 0
+}
+
+// bind puts records on disk, and has something done once they count: at once where nothing is copied. On an error nothing
+// was recorded. Records that need not count before anything else go without it.
+func (r *Relay) bind(recs []journal.Record, most time.Duration, then func(counts bool)) error {
+	c := r.copies
+	if c == nil {
+		if err := r.journal.Append(recs...); err != nil {
+			return err
+		}
+		if then != nil {
+			then(true)
+		}
+		return nil
+	}
+	of := map[*stream][]journal.Record{}
+	for _, rec := range recs {
+		if s := c.streams[r.estateOf(rec)]; s != nil {
+			of[s] = append(of[s], rec)
+		}
+	}
+	all := recs[:len(recs):len(recs)]
+	for s, own := range of {
+		all = append(all, journal.Record{Op: journal.OpCount, Estate: s.ID, Next: s.Next() + uint64(len(own))})
+	}
+	if err := r.journal.Append(all...); err != nil {
+		return err
+	}
+	left, failed := len(of), false
+	for s, own := range of {
+		next := s.Append(own...)
+		if then == nil {
+			continue
+		}
+		s.gates = append(s.gates, &gate{next, r.now(), most, func(counts bool) {
+			failed = failed || !counts
+			if left--; left == 0 {
+				then(!failed)
+			}
+		}})
+		r.lookSoon()
+	}
+	if left == 0 && then != nil {
+		then(true)
+	}
+	return nil
+}
+
+// lookSoon has the loop look at gates that may have to be given up.
+func (r *Relay) lookSoon() {
+	if c := r.copies; !c.looks {
+		c.looks = true
+		time.AfterFunc(countIn/4, func() { r.post(func() { c.looks = false; r.counted() }) })
+	}
+}
+
+// news has the loop look at what counts. It is called by whoever hears from holders.
+func (r *Relay) news() {
+	if r.copies.poked.CompareAndSwap(false, true) {
+		r.post(func() { r.copies.poked.Store(false); r.counted() })
+	}
+}
+
+// counted does what waited for records that count by now, and gives up what waited too long.
+func (r *Relay) counted() {
+	waits := false
+	for _, s := range r.copies.streams {
+		st, now := s.Standing(), r.now()
+		switch {
+		case !st.Short:
+			s.short = 0
+			if s.ID == r.copies.main {
+				r.copies.begin()
+			}
+		case s.short == 0:
+			s.short = now
+		}
+		risk := r.copies.conf.Short == fleet.OwnDisk && s.short > 0 && now-s.short >= countIn/2
+		gates := s.gates
+		s.gates = nil
+		for _, g := range gates {
+			switch {
+			case g.next <= st.Counted || risk:
+				g.do(true)
+			case g.most > 0 && now-g.at >= g.most:
+				g.do(false)
+			default:
+				s.gates = append(s.gates, g)
+			}
+		}
+		waits = waits || len(s.gates) > 0 || s.short > 0
+	}
+	if waits {
+		r.lookSoon()
+	}
+	r.figures.copied(r.standing())
+}
+
+// standing is how copies stand, for the figures.
+func (r *Relay) standing() copiesFigures {
+	f := copiesFigures{on: true}
+	for _, s := range r.copies.streams {
+		f.owned++
+		if s.short > 0 {
+			f.short++
+		} else {
+			f.of = append(f.of, fmt.Sprintf("%s.%d", s.estate.Name, s.ID))
+		}
+		f.waiting += len(s.gates)
+	}
+	slices.Sort(f.of)
+	if r.copies.main == 0 {
+		f.short++
+	}
+	if f.short > 0 && r.copies.conf.Short == fleet.OwnDisk {
+		f.atRisk = len(r.held)
+	}
+	if h := r.copies.holder.Load(); h != nil {
+		f.copies = h.Len()
+	}
+	return f
+}
+
+// takes tells whether a new message can be copied, or goes on the own disk as configured.
+func (c *copying) takes(now time.Duration) bool {
+	if c == nil || c.conf.Short == fleet.OwnDisk {
+		return true
+	}
+	s := c.streams[c.main]
+	return s != nil && (s.short == 0 || now-s.short < countIn)
+}
+
+// begin notes that new messages can be copied.
+func (c *copying) begin() {
+	select {
+	case <-c.begun:
+	default:
+		close(c.begun)
+	}
+}
+
+// readyIn is how long a relay that starts waits for holders before it says that clients may come.
+const readyIn = 5 * time.Second
+
+// whenReady says that clients may come, once what they hand in can be copied; not much later in any case, for what others
+// hold for them is wanted, too.
+func (r *Relay) whenReady() {
+	if r.copies == nil {
+		r.ready.Store(true)
+		return
+	}
+	go func() {
+		select {
+		case <-r.copies.begun:
+		case <-time.After(readyIn):
+		case <-r.quit:
+			return
+		}
+		r.ready.Store(true)
+	}()
+}
+
+// writer is the name by which holders know who writes; that of the process before, where it goes on as that.
+func (c *copying) writer(instance string) string {
+	for _, s := range c.streams {
+		return s.estate.Writer
+	}
+	return instance
+}
+
+// waiting tells whether a client waits for its message to count.
+func (c *copying) waiting() bool {
+	if c == nil {
+		return false
+	}
+	for _, s := range c.streams {
+		if len(s.gates) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// carry takes copies of others, and keeps up with this relay's own, until the context ends. Without a holder's address it only
+// keeps up the session.
+func (r *Relay) carry(ctx context.Context, s *fleet.Session) {
+	conf := r.conf.Fleet
+	if conf.Listen == "" {
+		s.Run(ctx)
+		return
+	}
+	h, l, err := r.openHolder(ctx)
+	if err != nil {
+		slog.Error("no copies are taken", "err", err, "remedy", "free the fleet address or the folder, and restart the relay")
+		s.Run(ctx)
+		return
+	}
+	h.Serve(l)
+	defer h.Close()
+	s.Addr, s.Folder, s.Owned = conf.Address, h.Folder, func() string { return "none" }
+	if s.Addr == "" {
+		s.Addr = l.Addr().String()
+	}
+	if c := r.copies; c != nil {
+		c.holder.Store(h)
+		s.Owned = c.owner.Marked
+		go c.owner.Run(ctx)
+	}
+	go r.sweep(ctx, s.Client, h)
+	s.Run(ctx)
+}
+
+// openHolder opens the folder of copies and the fleet address, once the process before this one has left them.
+func (r *Relay) openHolder(ctx context.Context) (h *estate.Holder, l net.Listener, err error) {
+	for end := time.Now().Add(bindIn); ; {
+		if l, err = net.Listen("tcp", r.conf.Fleet.Listen); err == nil {
+			break
+		}
+		if ctx.Err() != nil || time.Now().After(end) {
+			return nil, nil, err
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	if h, err = estate.OpenHolder(r.conf.State, int64(r.conf.DiskMB*copiesPart*1e6)); err != nil {
+		l.Close()
+		return nil, nil, err
+	}
+	return h, l, nil
+}
+
+// sweepEvery is how often copies are looked for that are on record no more.
+const sweepEvery = 10 * time.Second
+
+// sweep drops copies that the keepers' log has no use for any more.
+func (r *Relay) sweep(ctx context.Context, client *api.Client, h *estate.Holder) {
+	for tick := time.NewTicker(sweepEvery); ; {
+		select {
+		case <-ctx.Done():
+			tick.Stop()
+			return
+		case <-tick.C:
+		}
+		cctx, cancel := context.WithTimeout(ctx, sweepEvery/2)
+		var held []uint64
+		err := client.Call(cctx, http.MethodGet, api.HeldPath(r.conf.Name), nil, &held)
+		cancel()
+		if err != nil {
+			continue
+		}
+		h.Sweep(held)
+	}
+}
+
+// newOwner is what keeps up with the keepers and holders for a relay that copies.
+func (r *Relay) newOwner() {
+	c := r.copies
+	conns := &http.Transport{DisableCompression: true, IdleConnTimeout: idleIn, DialContext: dialer(r.conf.Source, time.Second).DialContext,
+		MaxIdleConnsPerHost: 4}
+	c.client = &http.Client{Transport: conns}
+	keepers := &api.Client{HTTP: &http.Client{Transport: &http.Transport{DisableCompression: true, IdleConnTimeout: idleIn,
+		DialContext: dialer(r.conf.Source, time.Second).DialContext, MaxIdleConnsPerHost: 1}}, Keepers: r.conf.Fleet.Keepers}
+	c.owner = &estate.Owner{Name: r.conf.Name, Instance: r.kept.Instance, Before: r.kept.Before, Adopted: c.adopted, Copies: c.conf.Copies, Client: c.client, Books: (*ownBooks)(r),
+		Say: func(ctx context.Context, e state.Event) (all []*state.Estate, err error) {
+			err = keepers.Call(ctx, http.MethodPost, api.EstatesPath, e, &all)
+			return all, err
+		}}
+}
+
+// uncounted ends a message whose record did not count in time. A holder that cannot be reached may have it all the same,
+// and an heir deliver it: where that must not happen twice its client is not told that it may come again.
+func (r *Relay) uncounted(m *message) {
+	if m.over {
+		return
+	}
+	r.events = append(r.events, choice.Withdrawn{ID: m.ID})
+	r.record(journal.Record{Op: journal.OpEnd, ID: m.ID})
+	m.over = true
+	delete(r.held, m.ID)
+	r.answerUncounted(m)
+}
+
+// answerUncounted answers the client of a message that does not count and has ended here.
+func (r *Relay) answerUncounted(m *message) {
+	if m.Terms != nil && m.Terms.Class.Effect == choice.Unsafe {
+		r.figures.ended(m.Class, failedEnd)
+		m.answer(answer{status: http.StatusInternalServerError, text: "it is not known whether it will be delivered"})
+		return
+	}
+	r.figures.ended(m.Class, refusedEnd)
+	m.answer(answer{status: http.StatusServiceUnavailable, after: comeBack, text: "too few copies"})
+}
--- a/internal/relay/figures.go
+++ b/internal/relay/figures.go
@@ -32,6 +32,18 @@
 	known, excluded          int // endpoints
 	reloadsOK, reloadsFailed int
 	agreed                   *hold.Acts // by what the relay acts; nil for one that shares nothing
+	copies                   copiesFigures
+}
+
+// copiesFigures are how copies stand.
+type copiesFigures struct {
+	on      bool     // the relay copies what it holds
+	owned   int      // estates that it writes
+	short   int      // of them, with too few holders
+	waiting int      // records that something waits for
+	atRisk  int      // messages that are on the own disk alone
+	copies  int      // of others
+	of      []string // relays whose estates this one writes, with enough holders that have them
 }
 
 // declare has a class stand among the figures before its first message ends.
@@ -80,6 +92,13 @@
 	f.agreed = &a
 }
 
+// copied tells how copies stand now.
+func (f *figures) copied(c copiesFigures) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.copies = c
+}
+
 // hold tells what there is now.
 func (f *figures) hold(inFlight, known, excluded int) {
 	f.mu.Lock()
@@ -103,5 +122,12 @@
 	if a := f.agreed; a != nil {
 		fmt.Fprintf(&b, "svc.fleet.turn=%d\nsvc.fleet.generation=%d\nsvc.fleet.joined=%d\nsvc.fleet.mode=%d\n", a.Turn, a.Force, a.Next, a.Mode)
 	}
+	if c := f.copies; c.on {
+		fmt.Fprintf(&b, "svc.estates.owned=%d\nsvc.estates.short=%d\nsvc.estates.waiting=%d\nsvc.estates.at_risk=%d\nsvc.estates.copies=%d\n",
+			c.owned, c.short, c.waiting, c.atRisk, c.copies)
+		for _, name := range c.of {
+			fmt.Fprintf(&b, "svc.estates.of.%s=1\n", name)
+		}
+	}
 	return b.Bytes()
 }
--- a/internal/relay/handover.go
+++ b/internal/relay/handover.go
@@ -31,15 +31,16 @@
 	linkQueue = 4096
 )
 
-// estate is what the next process needs besides the journal.
-type estate struct {
+// bequest is what the next process needs besides the journal.
+type bequest struct {
 	Version int64              `json:"version"`
 	Servers []discovery.Server `json:"servers"`
 	Gone    []discovery.Server `json:"gone"` // no longer listed, but with calls out
 	Memory  choice.Memory      `json:"memory"`
 	Calls   []callOut          `json:"calls"`
-	Past    []string           `json:"past"`  // ids that ended not long ago
-	Peers   int                `json:"peers"` // connections that clients have here
+	Past    []string           `json:"past"`             // ids that ended not long ago
+	Peers   int                `json:"peers"`            // connections that clients have here
+	Writer  string             `json:"writer,omitempty"` // of estates, as their holders know it
 }
 
 // callOut is a call that runs on in the process that handed over.
@@ -81,6 +82,7 @@
 	heritage *heritage         // from the process before this one; nil if there was none
 	heirs    *net.UnixListener // where the next process asks; nil if it cannot
 	heirConn *net.UnixConn     // it has asked
+	deferred []*intake         // came since then, and are taken on after the hand-over
 	heir     *link             // it has taken over
 	asked    map[int64]*intake // messages passed to it that it has not answered yet
 	askedN   int64
--- a/internal/relay/inherit.go
+++ b/internal/relay/inherit.go
@@ -17,7 +17,7 @@
 
 // heritage is what a process has from the one before it.
 type heritage struct {
-	estate
+	bequest
 	conn  *net.UnixConn
 	in    *json.Decoder
 	tcp   *net.TCPListener
@@ -72,7 +72,7 @@
 		return fmt.Errorf("%T came for a listener", l)
 	}
 	h.tcp = tcp
-	return h.in.Decode(&h.estate)
+	return h.in.Decode(&h.bequest)
 }
 
 func (h *heritage) close() {
--- a/internal/relay/intake.go
+++ b/internal/relay/intake.go
@@ -187,6 +187,8 @@
 	switch {
 	case r.heir != nil:
 		r.pass(in)
+	case r.heirConn != nil && r.copies != nil: // the next process is to have all that counts first
+		r.deferred = append(r.deferred, in)
 	case in.ctx.Err() != nil: // the client has gone; its handler still waits, and holds the connection
 		in.reply <- refuse
 	case r.held[id] != nil: // the client sent it again after its connection broke
@@ -204,10 +206,13 @@
 	case r.dests[in.entry.Dest] == nil:
 		r.figures.ended(in.entry.Class, failedEnd)
 		in.reply <- answer{status: http.StatusNotFound, text: "unknown destination"}
-	case r.stopped || set.MaxHeld > 0 && len(r.held) >= set.MaxHeld || r.owed >= maxOwed:
+	case r.stopped || !r.copies.takes(r.now()) || set.MaxHeld > 0 && len(r.held) >= set.MaxHeld || r.owed >= maxOwed:
 		r.figures.ended(in.entry.Class, refusedEnd)
 		in.reply <- refuse
 	default:
+		if r.copies != nil {
+			in.entry.Estate = r.copies.main
+		}
 		in.entry.Terms = &choice.Terms{Class: set.Classes[class], Attempts: set.MaxAttempts}
 		m := &message{Entry: in.entry, due: in.due, fresh: []*intake{in}}
 		r.held[id] = m
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -48,6 +48,7 @@
 	admin      *http.Server // of the second address; nil where there is none
 	adminAt    net.Addr
 	ready      atomic.Bool // clients may come
+	draining   atomic.Bool // and may not any more
 	figures    figures
 
 	books
@@ -117,6 +118,9 @@
 	disk := int64(conf.DiskMB * 1e6)
 	if conf.Fleet != nil {
 		disk -= fleet.StateMost
+		if conf.Fleet.Listen != "" {
+			disk -= int64(conf.DiskMB * copiesPart * 1e6)
+		}
 	}
 	if r.journal, err = journal.Open(conf.State, disk); err != nil {
 		return nil, err
@@ -124,6 +128,12 @@
 	if conf.Fleet != nil {
 		r.kept = fleet.Open(conf.State, newInstance(), fleet.File{Raw: conf.settings, Set: set})
 		r.look()
+		if r.copies = newCopying(conf.Fleet); r.copies != nil {
+			if r.heritage != nil {
+				r.copies.adopted = r.heritage.Writer
+			}
+			r.newOwner()
+		}
 	}
 	r.listener = newPeers(r.tcp, conf.Sockets/2)
 	r.server = newServer(r.handler(), r.listener)
@@ -132,6 +142,9 @@
 		r.listener.allow(max(conf.Sockets/8, conf.Sockets/2-h.Peers))
 		r.listed(discovery.List{Version: h.Version, Full: true, Servers: append(h.Servers, h.Gone...)})
 		r.adopt(h)
+		if r.copies != nil {
+			r.adoptEstates(h.Writer)
+		}
 		r.restore()
 		for i := range h.Gone {
 			h.Gone[i].State = "left"
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -18,10 +18,10 @@
 	go r.list.Follow(ctx, func(l discovery.List) { r.post(func() { r.listed(l) }) })
 	go r.tell(ctx)
 	if r.kept != nil {
-		go r.session().Run(ctx)
+		go r.carry(ctx, r.session())
 	}
 	go r.server.Serve(r.listener)
-	r.ready.Store(true)
+	r.whenReady()
 	r.loop()
 	cancel()
 	if r.heir != nil {
@@ -50,7 +50,7 @@
 // Drain stops the relay in order: it takes on and delivers while clients still
 // come, lets calls out finish, and leaves the rest to the journal.
 func (r *Relay) Drain() {
-	r.ready.Store(false)
+	r.draining.Store(true)
 	begin := time.Now()
 	rest := func(d time.Duration) time.Duration { return max(0, d-time.Since(begin)) }
 	if r.passedAt.Load() > 0 {
@@ -131,9 +131,10 @@
 		var again <-chan struct{}
 		if len(r.events) > 0 { // the step left some; nothing else may come in for long
 			again = atOnce
-		} else if conn := r.heirConn; conn != nil {
+		} else if conn := r.heirConn; conn != nil && !r.copies.waiting() {
 			r.heirConn = nil
 			r.handOver(conn)
+			r.takeDeferred()
 		}
 		select {
 		case f := <-r.inbox:
--- a/internal/relay/step.go
+++ b/internal/relay/step.go
@@ -67,13 +67,20 @@
 			continue
 		}
 		// Only what is in the journal is taken on.
-		if err := r.journal.Append(journal.Record{Op: journal.OpTaken, Entry: m.Entry}); err != nil {
+		err := r.bind([]journal.Record{{Op: journal.OpTaken, Entry: m.Entry}}, countIn, func(counts bool) {
+			switch {
+			case m.over:
+			case counts:
+				m.answer(answer{status: http.StatusAccepted})
+			default:
+				r.uncounted(m)
+			}
+		})
+		if err != nil {
 			slog.Error("message not taken on", "err", err)
 			r.events = append(r.events, choice.Withdrawn{ID: m.ID})
 			r.refuse(m, comeBack)
-			continue
 		}
-		m.answer(answer{status: http.StatusAccepted})
 	}
 	r.fresh = r.fresh[:0]
 	r.dispatch(sends)
@@ -100,6 +107,10 @@
 
 // refuse ends a message that was never taken on.
 func (r *Relay) refuse(m *message, after time.Duration) {
+	if r.copies != nil && r.journal.Entry(m.ID) != nil { // on disk, but it does not count yet
+		r.uncounted(m)
+		return
+	}
 	r.figures.ended(m.Class, refusedEnd)
 	m.over = true
 	delete(r.held, m.ID)
@@ -146,17 +157,47 @@
 		// would come before an outcome that could not be written yet.
 		err := errUnwritten
 		if len(r.records) == 0 {
-			err = r.journal.Append(recs...)
+			written := time.Now()
+			err = r.bind(recs, freshIn, func(counts bool) { r.startCounted(c, written, counts) })
 		}
 		if err != nil {
 			slog.Error("attempts not sent", "err", err)
-			for _, s := range c.sends {
-				r.events = append(r.events, choice.Result{ID: s.ID, Host: s.Host, Outcome: choice.NotSent})
-			}
-			continue
+			r.unsent(c)
 		}
+	}
+}
+
+// unsent tells the decisions that a call does not go.
+func (r *Relay) unsent(c *call) {
+	for _, s := range c.sends {
+		r.events = append(r.events, choice.Result{ID: s.ID, Host: s.Host, Outcome: choice.NotSent})
+	}
+}
+
+// startCounted starts a call whose record counts, unless something came between: then all of it stays.
+func (r *Relay) startCounted(c *call, written time.Time, counts bool) {
+	if r.copies == nil {
+		r.start(c)
+		return
+	}
+	waited := time.Since(written)
+	late := !counts || waited >= freshIn || r.stopped || r.heir != nil || c.host.closed.Load() ||
+		slices.ContainsFunc(c.members, func(m *message) bool { return m.over })
+	for i := range c.sends { // a call that lasts to the end of its message's time must end then
+		c.sends[i].Timeout -= waited
+		late = late || c.sends[i].Timeout <= 0
+	}
+	if !late {
+		c.fresh = written.Add(freshIn)
 		r.start(c)
+		return
 	}
+	for _, m := range c.members {
+		if !m.over {
+			r.record(journal.Record{Op: journal.OpOutcome, ID: m.ID})
+		}
+	}
+	r.unsent(c)
 }
 
 // ended takes in what became of one message's attempt.
@@ -170,6 +211,9 @@
 		r.heir.send(passed{End: &endPassed{m.ID, e.outcome, e.done, t.took, t.wait, t.report, t.stale}})
 		return
 	}
+	if t.wait > 0 && r.copies != nil { // an heir is to know of it
+		r.record(journal.Record{Op: journal.OpWait, ID: c.host.id, At: time.Now().UnixMilli(), Wait: t.wait.Milliseconds()})
+	}
 	r.events = append(r.events, choice.Result{ID: m.ID, Host: c.host.id, Outcome: e.outcome, Took: t.took, Wait: t.wait,
 		Stale: t.stale, Report: t.report, Done: e.done || e.outcome == choice.Served})
 	if m.over {
