--- a/internal/estate/holder.go
+++ b/internal/estate/holder.go
@@ -2,21 +2,19 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"log/slog"
 	"net"
 	"net/http"
 	"os"
 	"path/filepath"
-	"slices"
 	"strconv"
 	"sync"
 	"time"
 
+	"crypto/rand"
+
 	"larchrouter/internal/estate/state"
 	"larchrouter/internal/journal"
 )
@@ -124,17 +122,6 @@
 	return c, nil
 }
 
-// Serve answers at a listener until Close.
-func (h *Holder) Serve(l net.Listener) {
-	mux := http.NewServeMux()
-	handle(h, mux, CopyPath, h.take)
-	handle(h, mux, PromisePath, h.promise)
-	handle(h, mux, DropPath, h.drop)
-	h.tcp = l
-	h.server = &http.Server{Handler: mux, ReadTimeout: 5 * time.Second, WriteTimeout: 5 * time.Second, IdleTimeout: time.Minute, MaxHeaderBytes: 8 << 10}
-	go h.server.Serve(l)
-}
-
 // Close ends it. What was answered is on disk.
 func (h *Holder) Close() {
 	if h.server != nil {
@@ -160,45 +147,6 @@
 	return len(h.copies)
 }
 
-// handle reads a call of bounded size, and writes its answer.
-func handle[T any](h *Holder, mux *http.ServeMux, path string, do func(context.Context, T) (any, error)) {
-	mux.HandleFunc("POST "+path, func(w http.ResponseWriter, req *http.Request) {
-		var in T
-		body, err := io.ReadAll(http.MaxBytesReader(w, req.Body, bodyMost))
-		if err == nil {
-			err = json.Unmarshal(body, &in)
-		}
-		status, out := http.StatusOK, any(nil)
-		if err != nil {
-			status, out = http.StatusBadRequest, Problem{Error: "the call cannot be read: " + err.Error(), Stamp: h.now()}
-		} else if out, err = do(req.Context(), in); err != nil {
-			status, out = h.problem(err)
-		}
-		data, err := json.Marshal(out)
-		if err != nil {
-			w.WriteHeader(http.StatusInternalServerError)
-			return
-		}
-		w.Header().Set("Content-Type", "application/json")
-		w.WriteHeader(status)
-		w.Write(data)
-	})
-}
-
-func (h *Holder) problem(err error) (status int, p Problem) {
-	p = Problem{Error: err.Error(), Remedy: remedy(err), Stamp: h.now()}
-	var refused *Refused
-	switch {
-	case errors.As(err, &p.Sealed), errors.As(err, &p.Behind):
-		return http.StatusConflict, p
-	case errors.As(err, &refused):
-		return refused.Status, p
-	case errors.Is(err, journal.ErrFull):
-		return http.StatusInsufficientStorage, p
-	}
-	return http.StatusInternalServerError, p
-}
-
 func (h *Holder) copy(id uint64, names ...string) (*copied, error) {
 	for _, n := range names {
 		if len(n) > nameMost {
@@ -297,46 +245,3 @@
 	}
 	return out, nil
 }
-
-// drop forgets a copy of an estate that has run out.
-func (h *Holder) drop(_ context.Context, p Promise) (any, error) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	c := h.copies[p.Estate]
-	if c == nil {
-		return Taken{Stamp: h.now()}, nil
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if err := c.now.Promise(p.Epoch, p.Writer, p.Before); err != nil {
-		return nil, err
-	}
-	c.over = true
-	c.j.Close()
-	delete(h.copies, p.Estate)
-	if err := os.RemoveAll(filepath.Join(h.dir, strconv.FormatUint(p.Estate, 10))); err != nil {
-		return nil, &Disk{h.dir, err}
-	}
-	return Taken{Stamp: h.now()}, nil
-}
-
-// Sweep drops copies of estates that are not among those that this relay is on record for, now and when it looked last:
-// the keepers may know of one before its writer's first call, and not the reverse.
-func (h *Holder) Sweep(held []uint64) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	for id, c := range h.copies {
-		c.mu.Lock()
-		if slices.Contains(held, id) {
-			c.unheld = 0
-		} else if c.unheld++; c.unheld > 1 {
-			c.over = true
-			c.j.Close()
-			delete(h.copies, id)
-			if err := os.RemoveAll(filepath.Join(h.dir, strconv.FormatUint(id, 10))); err != nil {
-				slog.Error("a copy of no use stays", "estate", id, "err", err)
-			}
-		}
-		c.mu.Unlock()
-	}
-}
--- a/internal/estate/state/copy.go
+++ b/internal/estate/state/copy.go
@@ -34,7 +34,8 @@
 type Copy struct {
 	Epoch  uint64 `json:"epoch"`  // newest that it has promised itself to
 	Writer string `json:"writer"` // in that epoch
-	// What it has was written by From in epoch Have, up to the record before Next. From is empty for nothing.
+	// What it has was written by From, who gave it the whole in epoch Have, up to the record before Next. From is empty for
+	// nothing.
 	From string `json:"from,omitempty"`
 	Have uint64 `json:"have,omitempty"`
 	Next uint64 `json:"next,omitempty"`
@@ -58,7 +59,7 @@
 	if err := c.Promise(epoch, writer, ""); err != nil {
 		return err
 	}
-	if c.From == writer && c.Have == epoch && next < c.Next {
+	if c.From == writer && next < c.Next {
 		return &Behind{c.Next, true} // an older one that was long on its way
 	}
 	c.From, c.Have, c.Next = writer, epoch, next
@@ -74,9 +75,16 @@
 		return 0, &Behind{c.Next, c.From == writer}
 	}
 	skip = min(c.Next-first, n)
-	c.Have, c.Next = epoch, max(c.Next, first+n)
+	c.Next = max(c.Next, first+n)
 	return skip, nil
 }
 
-// Newer tells whether this copy has all that another has, and it was written later.
-func (c *Copy) Newer(o Copy) bool { return c.Have > o.Have || c.Have == o.Have && c.Next > o.Next }
+// Newer tells whether this copy has all that another has, and more. Of one writer's the longer has; of two, that of the
+// writer that came later, for it began with the whole. In which epoch a holder heard last says nothing: one that got nothing
+// new may have heard later than one that has more.
+func (c *Copy) Newer(o Copy) bool {
+	if c.From == o.From || c.Have == o.Have {
+		return c.Next > o.Next
+	}
+	return c.Have > o.Have
+}
--- a/internal/estate/state/writer.go
+++ b/internal/estate/state/writer.go
@@ -26,7 +26,8 @@
 	Next      uint64 // number of the next record
 	Followers []*Follower
 	counted   uint64
-	ever      bool // a whole copy was at as many as it takes, since the set is this one
+	base      uint64 // what counted as the set became this one
+	ever      bool   // as many as it takes have had all of that since
 }
 
 // The spans after which another holder takes the place of one. They are longer than what a restart takes a relay, and than
@@ -39,7 +40,7 @@
 // Set has other holders follow. Those that stay keep what they have.
 func (w *Writer) Set(epoch uint64, copies int, holders []Holder) {
 	old := w.Followers
-	w.Epoch, w.Copies, w.Followers, w.ever = epoch, copies, nil, false
+	w.Epoch, w.Copies, w.Followers, w.base, w.ever = epoch, copies, nil, w.Counted(), false
 	for _, h := range holders {
 		i := slices.IndexFunc(old, func(f *Follower) bool { return f.Holder == h })
 		if i >= 0 {
@@ -61,7 +62,7 @@
 	slices.Sort(acked)
 	if n := len(acked); n >= w.Copies && w.Copies > 0 {
 		w.counted = max(w.counted, acked[n-w.Copies])
-		w.ever = true
+		w.ever = w.ever || acked[n-w.Copies] >= w.base
 	}
 	return w.counted
 }
@@ -77,7 +78,8 @@
 	return n < max(1, w.Copies)
 }
 
-// Filled tells whether the sets before this one are of no more use: as many as make a record count have had the whole.
+// Filled tells whether the sets before this one are of no more use: as many as make a record count have had all that
+// counted before. A holder that stays from one set to the next may be behind that.
 func (w *Writer) Filled() bool { w.Counted(); return w.ever }
 
 // Took notes what a holder has confirmed.
--- a/internal/lab/lose.go
+++ b/internal/lab/lose.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"io/fs"
 	"os"
 	"path/filepath"
 	"time"
@@ -51,7 +53,7 @@
 // rollback has the relay's machine come back with its folder as it was a while before.
 func (r *relay) rollback(ctx context.Context, at, by time.Duration, out time.Duration) error {
 	old := filepath.Join(r.dir, "state-before")
-	if err := os.CopyFS(old, os.DirFS(r.state())); err != nil {
+	if err := copyFiles(old, r.state()); err != nil {
 		return err
 	}
 	select {
@@ -67,6 +69,34 @@
 	})
 }
 
+// copyFiles copies the files of a folder, and nothing else that is in it: a process may be using it.
+func copyFiles(to, from string) error {
+	return filepath.WalkDir(from, func(path string, d fs.DirEntry, err error) error {
+		switch {
+		case errors.Is(err, fs.ErrNotExist): // it has gone meanwhile
+			return nil
+		case err != nil:
+			return err
+		}
+		name, err := filepath.Rel(from, path)
+		if err != nil {
+			return err
+		}
+		name = filepath.Join(to, name)
+		switch {
+		case d.IsDir():
+			return os.MkdirAll(name, 0o755)
+		case !d.Type().IsRegular():
+			return nil
+		}
+		data, err := os.ReadFile(path)
+		if errors.Is(err, fs.ErrNotExist) {
+			return nil
+		}
+		return errors.Join(err, os.WriteFile(name, data, 0o600))
+	})
+}
+
 // replace ends the relay's process by SIGKILL, does something to its folder, and starts it again after a while; never for 0.
 func (r *relay) replace(ctx context.Context, out time.Duration, how string, do func() error) error {
 	r.mu.Lock()
--- a/internal/lab/rules/rules.go
+++ b/internal/lab/rules/rules.go
@@ -170,6 +170,9 @@
 	case history.Left:
 		if m := c.msgs[e.ID]; m != nil {
 			m.left, m.lines = true, append(m.lines, e)
+			for _, name := range []string{"refused", "failed"} { // the relay may count it, though nobody hears its answer
+				c.proc(e.Relay).counts[name].may.add(e.T)
+			}
 		}
 	case history.Call:
 		c.call(e)
--- a/internal/relay/answers.go
+++ b/internal/relay/answers.go
@@ -1,7 +1,9 @@
 package relay
 
 import (
+	"cmp"
 	"encoding/json"
+	"fmt"
 	"math"
 	"net/http"
 	"strconv"
@@ -90,3 +92,15 @@
 	}
 	return report
 }
+
+// appendFrame adds a message as it stands in the body of a call with several.
+func appendFrame(body []byte, m *message) []byte {
+	return fmt.Appendf(body, "%s %s %d\r\n%s\r\n", m.ID, cmp.Or(m.Key, "-"), len(m.Body), m.Body)
+}
+
+// frameSize is how much appendFrame adds.
+func frameSize(m *message) int {
+	var digits [8]byte
+	length := len(strconv.AppendInt(digits[:0], int64(len(m.Body)), 10))
+	return len(m.ID) + len(cmp.Or(m.Key, "-")) + length + len(m.Body) + len("  \r\n\r\n")
+}
--- a/internal/relay/bequeath.go
+++ b/internal/relay/bequeath.go
@@ -187,7 +187,7 @@
 	}
 	for _, s := range c.streams {
 		s.Close()
-		s.gates = nil
+		s.gates.Forget()
 	}
 	if h := c.holder.Load(); h != nil {
 		h.Close()
--- a/internal/relay/calls.go
+++ b/internal/relay/calls.go
@@ -1,10 +1,8 @@
 package relay
 
 import (
-	"cmp"
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -134,18 +132,6 @@
 	}()
 }
 
-// appendFrame adds a message as it stands in the body of a call with several.
-func appendFrame(body []byte, m *message) []byte {
-	return fmt.Appendf(body, "%s %s %d\r\n%s\r\n", m.ID, cmp.Or(m.Key, "-"), len(m.Body), m.Body)
-}
-
-// frameSize is how much appendFrame adds.
-func frameSize(m *message) int {
-	var digits [8]byte
-	length := len(strconv.AppendInt(digits[:0], int64(len(m.Body)), 10))
-	return len(m.ID) + len(cmp.Or(m.Key, "-")) + length + len(m.Body) + len("  \r\n\r\n")
-}
-
 // exchange makes one call and tells each member's end. The time it took is taken here, so
 // that no delay of the loop is learnt as latency.
 func (r *Relay) exchange(ctx context.Context, c *call, ids []string) (ends []end, t told) {
--- a/internal/relay/copies.go
+++ b/internal/relay/copies.go
@@ -1,10 +1,7 @@
 package relay
 
 import (
-	"context"
 	"fmt"
-	"log/slog"
-	"net"
 	"net/http"
 	"slices"
 	"sync/atomic"
@@ -15,7 +12,6 @@
 	"larchrouter/internal/estate/state"
 	"larchrouter/internal/fleet"
 	"larchrouter/internal/journal"
-	"larchrouter/internal/keeper/api"
 )
 
 // What the relay holds for others is copied to further relays, and what binds it counts only once it is there: the relay's
@@ -50,18 +46,10 @@
 type stream struct {
 	*estate.Stream
 	estate state.Estate
-	gates  []*gate
+	gates  estate.Gates
 	short  time.Duration // since when too few holders have a copy; 0 while they do
 }
 
-// gate is something that waits until records count.
-type gate struct {
-	next uint64        // number after them
-	at   time.Duration // when they were written
-	most time.Duration // after which it is given up; 0 for never
-	do   func(counts bool)
-}
-
 // newCopying is nil where the configuration asks for no copies.
 func newCopying(conf *fleet.Config) *copying {
 	if conf == nil || conf.Copies == 0 {
@@ -116,12 +104,12 @@
 		if then == nil {
 			continue
 		}
-		s.gates = append(s.gates, &gate{next, r.now(), most, func(counts bool) {
+		s.gates.Add(next, r.now(), most, func(counts bool) {
 			failed = failed || !counts
 			if left--; left == 0 {
 				then(!failed)
 			}
-		}})
+		})
 		r.lookSoon()
 	}
 	if left == 0 && then != nil {
@@ -160,19 +148,8 @@
 			s.short = now
 		}
 		risk := r.copies.conf.Short == fleet.OwnDisk && s.short > 0 && now-s.short >= countIn/2
-		gates := s.gates
-		s.gates = nil
-		for _, g := range gates {
-			switch {
-			case g.next <= st.Counted || risk:
-				g.do(true)
-			case g.most > 0 && now-g.at >= g.most:
-				g.do(false)
-			default:
-				s.gates = append(s.gates, g)
-			}
-		}
-		waits = waits || len(s.gates) > 0 || s.short > 0
+		s.gates.Pass(st.Counted, risk, now)
+		waits = waits || s.gates.Len() > 0 || s.short > 0
 	}
 	if waits {
 		r.lookSoon()
@@ -190,7 +167,7 @@
 		} else {
 			f.of = append(f.of, fmt.Sprintf("%s.%d", s.estate.Name, s.ID))
 		}
-		f.waiting += len(s.gates)
+		f.waiting += s.gates.Len()
 	}
 	slices.Sort(f.of)
 	if r.copies.main == 0 {
@@ -214,36 +191,6 @@
 	return s != nil && (s.short == 0 || now-s.short < countIn)
 }
 
-// begin notes that new messages can be copied.
-func (c *copying) begin() {
-	select {
-	case <-c.begun:
-	default:
-		close(c.begun)
-	}
-}
-
-// readyIn is how long a relay that starts waits for holders before it says that clients may come.
-const readyIn = 5 * time.Second
-
-// whenReady says that clients may come, once what they hand in can be copied; not much later in any case, for what others
-// hold for them is wanted, too.
-func (r *Relay) whenReady() {
-	if r.copies == nil {
-		r.ready.Store(true)
-		return
-	}
-	go func() {
-		select {
-		case <-r.copies.begun:
-		case <-time.After(readyIn):
-		case <-r.quit:
-			return
-		}
-		r.ready.Store(true)
-	}()
-}
-
 // writer is the name by which holders know who writes; that of the process before, where it goes on as that.
 func (c *copying) writer(instance string) string {
 	for _, s := range c.streams {
@@ -258,98 +205,13 @@
 		return false
 	}
 	for _, s := range c.streams {
-		if len(s.gates) > 0 {
+		if s.gates.Len() > 0 {
 			return true
 		}
 	}
 	return false
 }
 
-// carry takes copies of others, and keeps up with this relay's own, until the context ends. Without a holder's address it only
-// keeps up the session.
-func (r *Relay) carry(ctx context.Context, s *fleet.Session) {
-	conf := r.conf.Fleet
-	if conf.Listen == "" {
-		s.Run(ctx)
-		return
-	}
-	h, l, err := r.openHolder(ctx)
-	if err != nil {
-		slog.Error("no copies are taken", "err", err, "remedy", "free the fleet address or the folder, and restart the relay")
-		s.Run(ctx)
-		return
-	}
-	h.Serve(l)
-	defer h.Close()
-	s.Addr, s.Folder, s.Owned = conf.Address, h.Folder, func() string { return "none" }
-	if s.Addr == "" {
-		s.Addr = l.Addr().String()
-	}
-	if c := r.copies; c != nil {
-		c.holder.Store(h)
-		s.Owned = c.owner.Marked
-		go c.owner.Run(ctx)
-	}
-	go r.sweep(ctx, s.Client, h)
-	s.Run(ctx)
-}
-
-// openHolder opens the folder of copies and the fleet address, once the process before this one has left them.
-func (r *Relay) openHolder(ctx context.Context) (h *estate.Holder, l net.Listener, err error) {
-	for end := time.Now().Add(bindIn); ; {
-		if l, err = net.Listen("tcp", r.conf.Fleet.Listen); err == nil {
-			break
-		}
-		if ctx.Err() != nil || time.Now().After(end) {
-			return nil, nil, err
-		}
-		time.Sleep(20 * time.Millisecond)
-	}
-	if h, err = estate.OpenHolder(r.conf.State, int64(r.conf.DiskMB*copiesPart*1e6)); err != nil {
-		l.Close()
-		return nil, nil, err
-	}
-	return h, l, nil
-}
-
-// sweepEvery is how often copies are looked for that are on record no more.
-const sweepEvery = 10 * time.Second
-
-// sweep drops copies that the keepers' log has no use for any more.
-func (r *Relay) sweep(ctx context.Context, client *api.Client, h *estate.Holder) {
-	for tick := time.NewTicker(sweepEvery); ; {
-		select {
-		case <-ctx.Done():
-			tick.Stop()
-			return
-		case <-tick.C:
-		}
-		cctx, cancel := context.WithTimeout(ctx, sweepEvery/2)
-		var held []uint64
-		err := client.Call(cctx, http.MethodGet, api.HeldPath(r.conf.Name), nil, &held)
-		cancel()
-		if err != nil {
-			continue
-		}
-		h.Sweep(held)
-	}
-}
-
-// newOwner is what keeps up with the keepers and holders for a relay that copies.
-func (r *Relay) newOwner() {
-	c := r.copies
-	conns := &http.Transport{DisableCompression: true, IdleConnTimeout: idleIn, DialContext: dialer(r.conf.Source, time.Second).DialContext,
-		MaxIdleConnsPerHost: 4}
-	c.client = &http.Client{Transport: conns}
-	keepers := &api.Client{HTTP: &http.Client{Transport: &http.Transport{DisableCompression: true, IdleConnTimeout: idleIn,
-		DialContext: dialer(r.conf.Source, time.Second).DialContext, MaxIdleConnsPerHost: 1}}, Keepers: r.conf.Fleet.Keepers}
-	c.owner = &estate.Owner{Name: r.conf.Name, Instance: r.kept.Instance, Before: r.kept.Before, Adopted: c.adopted, Copies: c.conf.Copies, Client: c.client, Books: (*ownBooks)(r),
-		Say: func(ctx context.Context, e state.Event) (all []*state.Estate, err error) {
-			err = keepers.Call(ctx, http.MethodPost, api.EstatesPath, e, &all)
-			return all, err
-		}}
-}
-
 // uncounted ends a message whose record did not count in time. A holder that cannot be reached may have it all the same,
 // and an heir deliver it: where that must not happen twice its client is not told that it may come again.
 func (r *Relay) uncounted(m *message) {
--- a/internal/relay/estates.go
+++ b/internal/relay/estates.go
@@ -5,7 +5,6 @@
 	"log/slog"
 	"maps"
 	"slices"
-	"time"
 
 	"larchrouter/choice"
 	"larchrouter/internal/estate"
@@ -137,51 +136,6 @@
 	return s
 }
 
-// takeUp has a message of an estate go on. One that another process may have out is left alone until that has ended for
-// certain: its time-out, the time in which the call may have gone out, and what clocks differ by.
-func (r *Relay) takeUp(e *journal.Entry, another bool) {
-	wait := time.Duration(0)
-	if another && e.Out && e.Status == "" {
-		wait = time.Duration(e.Wait)*time.Millisecond + freshIn
-		wait += wait / 100
-	}
-	if wait == 0 {
-		r.takeUpNow(e, false)
-		return
-	}
-	left := time.Duration(e.Due-time.Now().UnixMilli()) * time.Millisecond
-	m := &message{Entry: e, due: r.now() + left}
-	r.held[e.ID] = m
-	// Its time may be up before that: then it ends by its class, without another try.
-	last := wait >= left-lastLook
-	time.AfterFunc(min(wait, max(0, left-lastLook)), func() {
-		r.post(func() {
-			if r.held[e.ID] == m && !r.stopped && r.heir == nil {
-				delete(r.held, e.ID)
-				r.takeUpNow(e, last)
-			}
-		})
-	})
-}
-
-// lastLook is how long before its time is up a message ends that another process may still have out.
-const lastLook = 100 * time.Millisecond
-
-// toldWaits has the decisions hear of waits that the process before told of.
-func (r *Relay) toldWaits(recs []journal.Record) {
-	for _, w := range recs {
-		if w.Op != journal.OpWait {
-			continue
-		}
-		if left := time.Duration(w.At+w.Wait-time.Now().UnixMilli()) * time.Millisecond; left > 0 {
-			if h := r.hosts[w.ID]; h != nil {
-				h.waiting.heed(r.now() + left)
-			}
-			r.events = append(r.events, choice.Waits{Host: w.ID, Left: left})
-		}
-	}
-}
-
 // Lost has an estate be another's.
 func (b *ownBooks) Lost(id uint64) {
 	b.done(func(r *Relay) {
@@ -218,9 +172,7 @@
 		r.untold = slices.DeleteFunc(r.untold, func(n notice) bool { return ids[n.ID] })
 		r.owed -= old - len(r.untold)
 		if s != nil {
-			for _, g := range s.gates {
-				g.do(false)
-			}
+			s.gates.Drop()
 		}
 		if err := r.journal.Append(r.journal.Forget(id)...); err != nil {
 			slog.Error("what is another's stays in the folder", "estate", id, "err", err)
@@ -234,7 +186,7 @@
 func (b *ownBooks) Empty(id uint64) (empty bool) {
 	b.done(func(r *Relay) {
 		s := r.copies.streams[id]
-		empty = s != nil && len(s.gates) == 0 && len(r.records) == 0
+		empty = s != nil && s.gates.Len() == 0 && len(r.records) == 0
 		for e := range r.journal.All() {
 			empty = empty && e.Estate != id
 		}
--- /dev/null
+++ b/internal/relay/takeup.go
@@ -0,0 +1,53 @@
+package relay
+
+import (
+	"time"
+
+	"larchrouter/choice"
+	"larchrouter/internal/journal"
+)
+
+// takeUp has a message of an estate go on. One that another process may have out is left alone until that has ended for
+// certain: its time-out, the time in which the call may have gone out, and what clocks differ by.
+func (r *Relay) takeUp(e *journal.Entry, another bool) {
+	wait := time.Duration(0)
+	if another && e.Out && e.Status == "" {
+		wait = time.Duration(e.Wait)*time.Millisecond + freshIn
+		wait += wait / 100
+	}
+	if wait == 0 {
+		r.takeUpNow(e, false)
+		return
+	}
+	left := time.Duration(e.Due-time.Now().UnixMilli()) * time.Millisecond
+	m := &message{Entry: e, due: r.now() + left}
+	r.held[e.ID] = m
+	// Its time may be up before that: then it ends by its class, without another try.
+	last := wait >= left-lastLook
+	time.AfterFunc(min(wait, max(0, left-lastLook)), func() {
+		r.post(func() {
+			if r.held[e.ID] == m && !r.stopped && r.heir == nil {
+				delete(r.held, e.ID)
+				r.takeUpNow(e, last)
+			}
+		})
+	})
+}
+
+// lastLook is how long before its time is up a message ends that another process may still have out.
+const lastLook = 100 * time.Millisecond
+
+// toldWaits has the decisions hear of waits that the process before told of.
+func (r *Relay) toldWaits(recs []journal.Record) {
+	for _, w := range recs {
+		if w.Op != journal.OpWait {
+			continue
+		}
+		if left := time.Duration(w.At+w.Wait-time.Now().UnixMilli()) * time.Millisecond; left > 0 {
+			if h := r.hosts[w.ID]; h != nil {
+				h.waiting.heed(r.now() + left)
+			}
+			r.events = append(r.events, choice.Waits{Host: w.ID, Left: left})
+		}
+	}
+}
