--- /dev/null
+++ b/internal/lab/rules/estates_test.go
@@ -0,0 +1,60 @@
+package rules
+
+import (
+	"testing"
+	"time"
+
+	"larchrouter/internal/lab/history"
+)
+
+// lossOf is a history in which a relay takes a message on and its machine is lost; more is what follows.
+func lossOf(more ...history.Event) *Report {
+	c := New()
+	c.See(history.Event{Kind: history.Run, Terms: &history.Terms{MaxAttempts: 8, TakeOver: 4 * time.Second, DrainGrace: time.Second, AskWithin: time.Minute,
+		Classes: []history.Class{{Name: "k", Effect: "deduplicated", Window: 15 * time.Second, Aim: time.Second, Deadline: 2 * time.Second, Worth: 1}}}})
+	for _, p := range []string{"relay/0", "relay/1"} {
+		c.See(history.Event{Kind: history.Proc, Proc: p, How: "start"})
+		c.See(history.Event{Kind: history.Proc, Proc: p, How: "ready"})
+	}
+	c.See(history.Event{T: 1e5, Kind: history.Metrics, Relay: "relay/0", Whole: 9e4, Figures: map[string]float64{"svc.estates.of.relay/0.7": 1}})
+	c.See(history.Event{T: 2e5, Kind: history.Hand, Relay: "relay/0", ID: "m", First: "m", Class: "k", Left: 2000})
+	c.See(history.Event{T: 21e4, Kind: history.Heard, Relay: "relay/0", ID: "m", Status: 202})
+	c.See(history.Event{T: 3e5, Kind: history.Proc, Proc: "relay/0", How: "lose", Text: "for good"})
+	for _, e := range more {
+		c.See(e)
+	}
+	c.See(history.Event{T: 60e6, Kind: history.End})
+	return c.Close()
+}
+
+// Guards against a promise that is lost and not seen, and against ends and heirs that come in time and are blamed.
+func TestLostMachines(t *testing.T) {
+	heir := history.Event{T: 3e6, Kind: history.Metrics, Relay: "relay/1", Whole: 29e5, Figures: map[string]float64{"svc.estates.of.relay/0.7": 1}}
+	another := heir
+	another.Figures = map[string]float64{"svc.estates.of.relay/0.8": 1}
+	notice := func(at int64) history.Event {
+		return history.Event{T: at, Kind: history.Notice, Relay: "relay/1", ID: "m", How: "deferred"}
+	}
+	for name, c := range map[string]struct {
+		more  []history.Event
+		lost  int
+		ends  int // that came late
+		after float64
+		heir  string
+	}{
+		"nobody takes over":               {nil, 1, 1, -1, ""},
+		"an heir ends it":                 {[]history.Event{heir, notice(4e6)}, 0, 0, 2.7, "relay/1"},
+		"another estate is no heir":       {[]history.Event{another, notice(4e6), {T: 5e6, Kind: history.Metrics, Relay: "relay/1", Whole: 5e6}}, 0, 0, 4.7, ""},
+		"an end just in time":             {[]history.Event{heir, notice(4290e3)}, 0, 0, 2.7, "relay/1"},
+		"an end too late":                 {[]history.Event{heir, notice(48e5)}, 1, 1, 2.7, "relay/1"},
+		"a heir that has it ends nothing": {[]history.Event{heir}, 1, 1, 2.7, "relay/1"},
+	} {
+		r := lossOf(c.more...)
+		if r.Lost != c.lost || r.Broken[End] != c.ends {
+			t.Errorf("%s: %d lost and %d ends broken, want %d and %d", name, r.Lost, r.Broken[End], c.lost, c.ends)
+		}
+		if len(r.TakenOver) != 1 || r.TakenOver[0].After != c.after || r.TakenOver[0].Heir != c.heir {
+			t.Errorf("%s: %v, want after %.1f s by %q", name, r.TakenOver, c.after, c.heir)
+		}
+	}
+}
