--- a/internal/lab/rules/seen.go
+++ b/internal/lab/rules/seen.go
@@ -14,6 +14,7 @@
 	class         *history.Class
 	due           int64
 	unread        int64 // how long it lay at a relay that was stopped: that cannot know of it
+	allowed       int64 // by when its end is due at the latest, where its relay may have become another
 	taken         int64 // its client heard 200 or 202; 0 if not
 	refused       bool  // its client heard so
 	left          bool  // its client did not wait
