--- a/cmd/larchrouter/main.go
+++ b/cmd/larchrouter/main.go
@@ -10,12 +10,13 @@
 	"syscall"
 
 	"larchrouter/internal/relay"
+	"larchrouter/internal/remedy"
 )
 
 func main() {
 	slog.SetDefault(slog.New(slog.NewTextHandler(os.Stderr, nil)))
 	if err := run(); err != nil {
-		slog.Error("cannot start", "err", err)
+		slog.Error("cannot start", "err", err, "remedy", remedy.Of(err))
 		os.Exit(1)
 	}
 }
@@ -45,7 +46,7 @@
 	go func() {
 		for range reload {
 			if err := r.Reload(os.Getenv); err != nil {
-				slog.Error("configuration not taken up", "err", err)
+				slog.Error("configuration not taken up", "err", err, "remedy", remedy.Of(err))
 				continue
 			}
 			slog.Info("configuration taken up")
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -23,6 +23,7 @@
 	"github.com/spf13/cobra"
 
 	"larchrouter/internal/keeper/api"
+	"larchrouter/internal/remedy"
 )
 
 // The exit codes.
@@ -66,6 +67,9 @@
 		return done
 	}
 	fmt.Fprintln(errs, "larchctl:", err)
+	if what := remedy.Of(err); what != "" {
+		fmt.Fprintln(errs, "what to do:", what)
+	}
 	var no *api.Refused
 	if e := (*exit)(nil); errors.As(err, &e) {
 		return e.code
--- a/internal/estate/estate.go
+++ b/internal/estate/estate.go
@@ -7,7 +7,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -173,12 +172,3 @@
 	}
 	return asked, back, &Refused{h.Name, resp.StatusCode, p.Error, p.Remedy}
 }
-
-// remedy is what an operator can do about an error; empty if that is not known.
-func remedy(err error) string {
-	var r interface{ Remedy() string }
-	if errors.As(err, &r) {
-		return r.Remedy()
-	}
-	return ""
-}
--- a/internal/estate/find.go
+++ b/internal/estate/find.go
@@ -11,6 +11,7 @@
 
 	"larchrouter/internal/estate/state"
 	"larchrouter/internal/journal"
+	"larchrouter/internal/remedy"
 )
 
 // Found is the newest copy of an estate, with its stamps by the clock of whoever asked.
@@ -119,7 +120,7 @@
 			all.Go(func() {
 				var out Taken
 				if _, _, err := call(ctx, client, h, DropPath, p, &out, unixMilli); err != nil {
-					slog.Warn("a copy is left at a holder", "estate", p.Estate, "holder", h.Name, "err", err, "remedy", remedy(err))
+					slog.Warn("a copy is left at a holder", "estate", p.Estate, "holder", h.Name, "err", err, "remedy", remedy.Of(err))
 				}
 			})
 		}
--- a/internal/estate/holder.go
+++ b/internal/estate/holder.go
@@ -17,6 +17,7 @@
 
 	"larchrouter/internal/estate/state"
 	"larchrouter/internal/journal"
+	"larchrouter/internal/remedy"
 )
 
 // partsOf is into how many parts a holder's disk is divided: it takes no more copies than that.
@@ -74,7 +75,7 @@
 			continue
 		}
 		if _, err := h.open(id); err != nil {
-			slog.Error("a copy is not taken up", "estate", id, "err", err, "remedy", remedy(err))
+			slog.Error("a copy is not taken up", "estate", id, "err", err, "remedy", remedy.Of(err))
 		}
 	}
 	return h, nil
--- a/internal/estate/owner.go
+++ b/internal/estate/owner.go
@@ -12,6 +12,7 @@
 
 	"larchrouter/internal/estate/state"
 	"larchrouter/internal/keeper/api"
+	"larchrouter/internal/remedy"
 )
 
 // Books are what whoever owns the journal does for its estates. Each call may wait until that has been done.
@@ -203,7 +204,7 @@
 	if err != nil {
 		var no *api.Refused
 		if !errors.As(err, &no) || no.Status != http.StatusConflict {
-			slog.Warn("the keepers do not take a word on estates", "err", err, "remedy", remedy(err))
+			slog.Warn("the keepers do not take a word on estates", "err", err, "remedy", remedy.Of(err))
 		}
 		return false
 	}
--- a/internal/estate/serve.go
+++ b/internal/estate/serve.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"larchrouter/internal/journal"
+	"larchrouter/internal/remedy"
 )
 
 // Serve answers at a listener until Close.
@@ -49,7 +50,7 @@
 }
 
 func (h *Holder) problem(err error) (status int, p Problem) {
-	p = Problem{Error: err.Error(), Remedy: remedy(err), Stamp: h.now()}
+	p = Problem{Error: err.Error(), Remedy: remedy.Of(err), Stamp: h.now()}
 	var refused *Refused
 	switch {
 	case errors.As(err, &p.Sealed), errors.As(err, &p.Behind):
--- a/internal/estate/state/events.go
+++ b/internal/estate/state/events.go
@@ -44,7 +44,9 @@
 	Advice string // what an operator can do
 }
 
-func (r *Refusal) Error() string  { return r.What }
+func (r *Refusal) Error() string { return r.What }
+
+// Remedy says what an operator can do.
 func (r *Refusal) Remedy() string { return r.Advice }
 
 // Why an event is refused.
--- a/internal/estate/tie.go
+++ b/internal/estate/tie.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"larchrouter/internal/estate/state"
+	"larchrouter/internal/remedy"
 )
 
 // tie is what one holder's goroutine knows beside the Follower: what was sent to it, and its clock.
@@ -189,7 +190,7 @@
 	shut := s.shut
 	s.mu.Unlock()
 	if first {
-		slog.Warn("a holder takes no records", "estate", s.ID, "holder", t.f.Name, "err", err, "remedy", remedy(err))
+		slog.Warn("a holder takes no records", "estate", s.ID, "holder", t.f.Name, "err", err, "remedy", remedy.Of(err))
 	}
 	s.news()
 	if sealed != nil && !shut {
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -61,3 +61,24 @@
 	}
 	return nil
 }
+
+// Unfit is a generation that the relay cannot act by.
+type Unfit struct {
+	Number uint64
+	Force  bool // it is in force; else it is rejected
+	Err    error
+}
+
+func (u *Unfit) Error() string {
+	if u.Force {
+		return fmt.Sprintf("generation %d is in force, and cannot be acted by: %v", u.Number, u.Err)
+	}
+	return fmt.Sprintf("generation %d is rejected: %v", u.Number, u.Err)
+}
+
+func (u *Unfit) Unwrap() error { return u.Err }
+
+// Remedy says what an operator can do.
+func (u *Unfit) Remedy() string {
+	return "correct the document, or the relay's own file where that is narrower, or upgrade the relay"
+}
--- a/internal/keeper/http.go
+++ b/internal/keeper/http.go
@@ -14,6 +14,7 @@
 
 	"larchrouter/internal/keeper/api"
 	"larchrouter/internal/keeper/state"
+	"larchrouter/internal/remedy"
 )
 
 // Bounds of what callers may ask.
@@ -33,6 +34,14 @@
 
 func (r *refusal) Error() string { return r.text }
 
+// Remedy says what an operator can do.
+func (r *refusal) Remedy() string {
+	if r.status == http.StatusServiceUnavailable {
+		return "try again in a moment"
+	}
+	return "correct the call: see docs/keepers.md for what it takes"
+}
+
 func refuse(status int, format string, args ...any) error {
 	return &refusal{status, fmt.Sprintf(format, args...)}
 }
@@ -123,24 +132,19 @@
 		return
 	case err == nil:
 	case errors.As(err, &r):
-		status, out = r.status, api.Problem{Error: r.text}
+		status, out = r.status, api.Problem{Error: r.text, Remedy: r.Remedy()}
 	case errors.Is(err, errNotLeader):
-		p := api.Problem{Error: err.Error(), Leader: k.leader()}
+		p := api.Problem{Error: err.Error(), Remedy: remedy.Of(err), Leader: k.leader()}
 		status, out = http.StatusMisdirectedRequest, p
 		if p.Leader == "" {
 			status = http.StatusServiceUnavailable
 		}
 	case errors.Is(err, errNoSession), errors.Is(err, state.ErrUnknown):
-		status, out = http.StatusGone, api.Problem{Error: err.Error()}
+		status, out = http.StatusGone, api.Problem{Error: err.Error(), Remedy: remedy.Of(err)}
 	case errors.Is(err, state.ErrDoc), errors.Is(err, state.ErrBadEvent):
-		status, out = http.StatusBadRequest, api.Problem{Error: err.Error()}
+		status, out = http.StatusBadRequest, api.Problem{Error: err.Error(), Remedy: remedy.Of(err)}
 	default: // the state machine's word on what does not go now
-		p := api.Problem{Error: err.Error()}
-		var advice interface{ Remedy() string }
-		if errors.As(err, &advice) {
-			p.Remedy = advice.Remedy()
-		}
-		status, out = http.StatusConflict, p
+		status, out = http.StatusConflict, api.Problem{Error: err.Error(), Remedy: remedy.Of(err)}
 	}
 	data, merr := json.Marshal(out)
 	if merr != nil {
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -25,10 +25,21 @@
 
 // What a keeper cannot do.
 var (
-	errNotLeader = errors.New("another keeper leads, or none")
-	errNoSession = errors.New("the session has ended")
+	errNotLeader = &Unable{"another keeper leads, or none", "nothing while most keepers run: the one that leads is asked next; else start those that are out"}
+	errNoSession = &Unable{"the session has ended", "nothing: the relay begins another; see its log if it does not"}
 )
 
+// Unable is something that a keeper cannot do now.
+type Unable struct {
+	What   string
+	Advice string
+}
+
+func (u *Unable) Error() string { return u.What }
+
+// Remedy says what an operator can do.
+func (u *Unable) Remedy() string { return u.Advice }
+
 // Keeper is one that runs.
 type Keeper struct {
 	conf    Config
--- a/internal/keeper/state/events.go
+++ b/internal/keeper/state/events.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"errors"
 
 	estates "larchrouter/internal/estate/state"
 )
@@ -70,16 +69,27 @@
 
 // What an event is refused with. The log has it all the same; the state is as before.
 var (
-	ErrUnknown  = errors.New("no such member, or another process of that name")
-	ErrTaken    = errors.New("another process has the session of that name")
-	ErrBase     = errors.New("another generation is in force than the one that was to be changed")
-	ErrFull     = errors.New("too many changes wait already")
-	ErrMembers  = errors.New("too many members")
-	ErrDoc      = errors.New("the document is empty, too long or no JSON")
-	ErrStage    = errors.New("the generation is not where that could be done")
-	ErrBadEvent = errors.New("the event is none")
+	ErrUnknown  = &Refusal{"no such member, or another process of that name", "nothing: the relay begins another session"}
+	ErrTaken    = &Refusal{"another process has the session of that name", "see whether two relays have the same name; after a restart it ends by itself with the lease"}
+	ErrBase     = &Refusal{"another generation is in force than the one that was to be changed", "look at what is in force by now, and make the change to that"}
+	ErrFull     = &Refusal{"too many changes wait already", "give up those that are not wanted any more, or see which relays the first one waits for"}
+	ErrMembers  = &Refusal{"too many members", "see which relays are there that should not be"}
+	ErrDoc      = &Refusal{"the document is empty, too long or no JSON", "correct the file"}
+	ErrStage    = &Refusal{"the generation is not where that could be done", "look at where it stands with larchctl status"}
+	ErrBadEvent = &Refusal{"the event is none", "see whether keepers and callers are of neighbouring versions"}
 )
 
+// Refusal is why an event changed nothing.
+type Refusal struct {
+	What   string
+	Advice string // what an operator can do
+}
+
+func (r *Refusal) Error() string { return r.What }
+
+// Remedy says what an operator can do.
+func (r *Refusal) Remedy() string { return r.Advice }
+
 // Result is what an event led to.
 type Result struct {
 	Number  uint64 // of the generation that it made or concerns
--- a/internal/lab/rules/estates.go
+++ b/internal/lab/rules/estates.go
@@ -31,6 +31,21 @@
 // takeOver is how long it may take, in microseconds; 0 where nobody takes over.
 func (c *Checker) takeOver() int64 { return c.terms.TakeOver.Microseconds() }
 
+// troubled notes that something began or ended that may have a message's relay be another: the ends that are not overdue
+// yet may come as much later as that takes.
+func (c *Checker) troubled(at int64) {
+	c.trouble = at
+	over := c.takeOver()
+	if over == 0 {
+		return
+	}
+	for _, m := range c.msgs {
+		if m.delivered == 0 && m.notice.T == 0 && at <= max(m.due+m.unread+endSlack, m.allowed) {
+			m.allowed = max(m.allowed, at+over)
+		}
+	}
+}
+
 // inherited tells whether a relay may go on with what another delivered at a time and could not tell of: it was lost, or cut
 // off, not long after, so its holders may not have heard.
 func (c *Checker) inherited(heir, from string, at int64) bool {
--- a/internal/lab/rules/processes.go
+++ b/internal/lab/rules/processes.go
@@ -32,7 +32,7 @@
 
 func (c *Checker) process(e history.Event) {
 	if e.How != "start" && e.How != "exit" { // a keeper's, too: who leads anew waits for a lease
-		c.trouble = e.T
+		c.troubled(e.T)
 	}
 	if !strings.HasPrefix(e.Proc, "relay/") {
 		return
--- a/internal/lab/rules/rules.go
+++ b/internal/lab/rules/rules.go
@@ -203,7 +203,7 @@
 	case history.Fault:
 		c.lossy = c.lossy || e.State == history.Lossy
 		if c.lossy {
-			c.trouble = e.T
+			c.troubled(e.T)
 		}
 	case history.Limit:
 		c.report.limit(e.Dest, e.T, e.Figures["rate"])
--- a/internal/relay/agreed.go
+++ b/internal/relay/agreed.go
@@ -14,6 +14,7 @@
 	"larchrouter/internal/fleet"
 	"larchrouter/internal/fleet/hold"
 	"larchrouter/internal/keeper/api"
+	"larchrouter/internal/remedy"
 )
 
 // agreement is what the fleet has agreed on.
@@ -72,7 +73,7 @@
 		}
 		var err error
 		if w, err = r.kept.Hear(r.now(), h.Asked, h.Standing); err != nil {
-			slog.Warn("an answer of the keepers is not taken", "err", err)
+			slog.Warn("an answer of the keepers is not taken", "err", err, "remedy", remedy.Of(err))
 		}
 		r.look()
 		have, ok = r.kept.Have(), err == nil
--- a/internal/relay/books.go
+++ b/internal/relay/books.go
@@ -10,6 +10,7 @@
 	"larchrouter/choice"
 	"larchrouter/internal/discovery"
 	"larchrouter/internal/journal"
+	"larchrouter/internal/remedy"
 )
 
 // What the relay holds for others, and its record of that.
@@ -24,6 +25,7 @@
 	call  *call     // out now
 	fresh []*intake // its client still waits for an answer; more than one if it sent it twice
 	twice bool      // its client sent it on a second connection
+	gone  bool      // it has become another relay's
 	over  bool
 }
 
@@ -151,7 +153,7 @@
 	}
 	if len(r.records) > 0 {
 		if err := r.bind(r.records, 0, tell); err != nil {
-			slog.Error("not recorded", "records", len(r.records), "err", err)
+			slog.Error("not recorded", "records", len(r.records), "err", err, "remedy", remedy.Of(err))
 			time.AfterFunc(discovery.LongPause, func() { r.post(func() {}) })
 			return
 		}
--- a/internal/relay/estates.go
+++ b/internal/relay/estates.go
@@ -160,7 +160,7 @@
 		for id := range ids {
 			if m := r.held[id]; m != nil {
 				r.events = append(r.events, choice.Withdrawn{ID: id})
-				m.over = true
+				m.over, m.gone = true, true
 				delete(r.held, id)
 				if m.fresh != nil {
 					r.answerUncounted(m)
--- a/internal/relay/step.go
+++ b/internal/relay/step.go
@@ -8,6 +8,7 @@
 
 	"larchrouter/choice"
 	"larchrouter/internal/journal"
+	"larchrouter/internal/remedy"
 )
 
 // step lets the Chooser decide on what has come in, and carries its actions out.
@@ -77,7 +78,7 @@
 			}
 		})
 		if err != nil {
-			slog.Error("message not taken on", "err", err)
+			slog.Error("message not taken on", "err", err, "remedy", remedy.Of(err))
 			r.events = append(r.events, choice.Withdrawn{ID: m.ID})
 			r.refuse(m, comeBack)
 		}
@@ -161,7 +162,7 @@
 			err = r.bind(recs, freshIn, func(counts bool) { r.startCounted(c, written, counts) })
 		}
 		if err != nil {
-			slog.Error("attempts not sent", "err", err)
+			slog.Error("attempts not sent", "err", err, "remedy", remedy.Of(err))
 			r.unsent(c)
 		}
 	}
@@ -217,6 +218,9 @@
 	r.events = append(r.events, choice.Result{ID: m.ID, Host: c.host.id, Outcome: e.outcome, Took: t.took, Wait: t.wait,
 		Stale: t.stale, Report: t.report, Done: e.done || e.outcome == choice.Served})
 	if m.over {
+		if m.gone && e.outcome == choice.Served { // delivered from here all the same; the other finds out by its own call
+			r.figures.ended(m.Class, servedEnd)
+		}
 		return
 	}
 	if e.done || e.outcome == choice.Served {
