--- a/internal/journal/compact.go
+++ b/internal/journal/compact.go
@@ -11,11 +11,9 @@
 func (j *Journal) Compact() error {
 	var buf []byte
 	order := j.order[:0:0]
-	for _, id := range j.order {
-		if e := j.entries[id]; e != nil {
-			buf = frame(buf, Record{Op: OpTaken, Entry: e})
-			order = append(order, id)
-		}
+	for e := range j.All() {
+		buf = frame(buf, Record{Op: OpTaken, Entry: e})
+		order = append(order, place{e.ID, e.place})
 	}
 	for id, h := range j.unwell {
 		if time.Since(time.UnixMilli(h.At)) > forgetUnwell { // its host may be gone from the list since
@@ -79,8 +77,8 @@
 // All are the messages that are owed their end or its notice, in the order in which they were taken on.
 func (j *Journal) All() iter.Seq[*Entry] {
 	return func(yield func(*Entry) bool) {
-		for _, id := range j.order {
-			if e := j.entries[id]; e != nil && !yield(e) {
+		for _, p := range j.order {
+			if e := j.entries[p.id]; e != nil && e.place == p.n && !yield(e) {
 				return
 			}
 		}
--- /dev/null
+++ b/internal/journal/estates_test.go
@@ -0,0 +1,161 @@
+package journal
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	estates "larchrouter/internal/estate/state"
+)
+
+func inEstate(id string, estate uint64, body int) Record {
+	return Record{Op: OpTaken, Entry: &Entry{ID: id, Due: 5000, Body: make([]byte, body), Estate: estate}}
+}
+
+func mark(estate, next uint64) Record {
+	return Record{Op: OpMark, Mark: &Mark{Estate: estate, Name: "r", Copy: estates.Copy{Epoch: 3, Writer: "w", From: "w", Have: 3, Next: next}}}
+}
+
+func reopen(t testing.TB, dir string, j *Journal) *Journal {
+	t.Helper()
+	if j != nil {
+		if err := j.Close(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	j, err := Open(dir, 1<<20)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return j
+}
+
+// Guards against an estate that a restart or a compaction takes for another: where it stands, what is in it, and that it is
+// over are as they were.
+func TestMarksOutlastTheProcess(t *testing.T) {
+	dir := t.TempDir()
+	j := reopen(t, dir, nil)
+	if err := j.Append(mark(7, 1), inEstate("a", 7, 10), inEstate("b", 8, 10), inEstate("c", 7, 10), Record{Op: OpCount, Estate: 7, Next: 3}, mark(8, 2), Record{Op: OpEnd, ID: "c"}, Record{Op: OpCount, Estate: 7, Next: 4},
+		Record{Op: OpCount, Estate: 7, Next: 2}, Record{Op: OpCount, Estate: 99, Next: 2}, Record{Op: OpWait, ID: "h", At: time.Now().UnixMilli(), Wait: 60000}, Record{Op: OpWait, ID: "old", At: 1, Wait: 60000}); err != nil {
+		t.Fatal(err)
+	}
+	for range 2 {
+		j = reopen(t, dir, j)
+		m, ok := j.Mark(7)
+		if !ok || m.Next != 4 || m.Epoch != 3 || m.From != "w" || len(j.Marks()) != 2 {
+			t.Fatalf("estate 7 stands at %+v, %v", m, ok)
+		}
+		whole := j.Whole(7)
+		if len(whole) != 2 || whole[0].Entry.ID != "a" || whole[1].ID != "h" {
+			t.Fatalf("the whole of estate 7 is %+v", whole)
+		}
+	}
+	if err := j.Append(j.Forget(7)...); err != nil {
+		t.Fatal(err)
+	}
+	j = reopen(t, dir, j)
+	if _, ok := j.Mark(7); ok || j.Entry("a") != nil || j.Entry("b") == nil {
+		t.Errorf("after it is forgotten: known %v, a %v, b %v", ok, j.Entry("a"), j.Entry("b"))
+	}
+}
+
+// Guards against a copy that is neither the old nor the new: what does not fit, or is cut off anywhere, leaves the old.
+func TestReplaceIsWhole(t *testing.T) {
+	dir := t.TempDir()
+	j := reopen(t, dir, nil)
+	if err := j.Append(mark(1, 1), inEstate("old", 1, 1000)); err != nil {
+		t.Fatal(err)
+	}
+	var much []Record
+	for i := range 30 {
+		much = append(much, inEstate(fmt.Sprint("m", i), 1, 60<<10))
+	}
+	err := j.Replace(much...)
+	var f *Failure
+	if !errors.Is(err, ErrFull) || !errors.As(err, &f) || f.Remedy() == "" || j.Entry("old") == nil {
+		t.Fatalf("more than there is room for: %v, the old is there: %v", err, j.Entry("old") != nil)
+	}
+	if err := os.WriteFile(filepath.Join(dir, "journal.tmp"), []byte("half"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	j = reopen(t, dir, j)
+	if j.Entry("old") == nil {
+		t.Fatal("a copy that was cut off took the old one's place")
+	}
+	if err := j.Replace(inEstate("new", 1, 10), mark(1, 9)); err != nil {
+		t.Fatal(err)
+	}
+	if err := j.Append(Record{Op: OpCount, Estate: 1, Next: 10}); err != nil {
+		t.Fatal(err)
+	}
+	j = reopen(t, dir, j)
+	if m, _ := j.Mark(1); j.Entry("old") != nil || j.Entry("new") == nil || m.Next != 10 {
+		t.Errorf("after it: old %v, new %v, next %d", j.Entry("old"), j.Entry("new"), m.Next)
+	}
+}
+
+// Guards against a holder's journal that is another than its writer's, whatever it was told and wherever it was compacted.
+func TestCopyEqualsItsSource(t *testing.T) {
+	dir := t.TempDir()
+	n := 0
+	rapid.Check(t, func(t *rapid.T) {
+		n++
+		open := func(name string) *Journal {
+			d := filepath.Join(dir, fmt.Sprint(n, name))
+			if err := os.MkdirAll(d, 0o700); err != nil {
+				t.Fatal(err)
+			}
+			j, err := Open(d, 1<<20)
+			if err != nil {
+				t.Fatal(err)
+			}
+			return j
+		}
+		own, copied := open("own"), open("copy")
+		defer func() { own.Close(); copied.Close() }()
+		for i := range 40 {
+			id := fmt.Sprint("m", rapid.IntRange(0, 6).Draw(t, "id"))
+			r := rapid.SampledFrom([]Record{inEstate(id, 1, i), {Op: OpTry, ID: id, At: int64(i), Wait: 9}, {Op: OpOutcome, ID: id, Ran: true}, {Op: OpOutcome, ID: id},
+				{Op: OpNotice, ID: id, Status: "deferred"}, {Op: OpEnd, ID: id}}).Draw(t, "record")
+			again := r
+			if r.Entry != nil {
+				e := *r.Entry
+				again.Entry = &e
+			}
+			if err := errors.Join(own.Append(r), copied.Append(again)); err != nil {
+				t.Fatal(err)
+			}
+			switch rapid.IntRange(0, 8).Draw(t, "do") {
+			case 0:
+				if err := copied.Compact(); err != nil {
+					t.Fatal(err)
+				}
+			case 1: // the whole, by another clock and back
+				var recs []Record
+				for _, r := range own.Whole(1) {
+					recs = append(recs, r.Shifted(-700).Shifted(700))
+				}
+				if err := copied.Replace(recs...); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if a, b := fmt.Sprint(texts(own)), fmt.Sprint(texts(copied)); a != b {
+				t.Fatalf("after record %d\n%s\nthe copy has\n%s", i, a, b)
+			}
+		}
+	})
+}
+
+func texts(j *Journal) (all []string) {
+	for e := range j.All() {
+		c := *e
+		c.size, c.place = 0, 0
+		all = append(all, fmt.Sprintf("%+v", c))
+	}
+	return all
+}
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -63,9 +63,16 @@
 	byHand  map[string]Record // hosts that operators took out, or gave back not long ago
 	waits   map[string]Record // told by hosts, and not over
 	marks   map[uint64]Mark   // of estates
-	order   []string          // ids as taken on; ended ones are dropped by compaction
-	damaged bool              // what was read had other bytes than were written
-	broken  error             // a failed write could not be undone
+	order   []place           // as taken on; ended ones are dropped by compaction, and an id may come again before that
+	places  uint64
+	damaged bool  // what was read had other bytes than were written
+	broken  error // a failed write could not be undone
+}
+
+// place is where a message stands in the order.
+type place struct {
+	id string
+	n  uint64
 }
 
 func empty(path string, budget int64) *Journal {
@@ -155,7 +162,9 @@
 		e.size = n + slack
 		j.live += e.size
 		j.entries[e.ID] = e
-		j.order = append(j.order, e.ID)
+		j.places++
+		e.place = j.places
+		j.order = append(j.order, place{e.ID, e.place})
 	case e == nil:
 	case r.Op == OpTry:
 		e.Tries++
--- a/internal/journal/records.go
+++ b/internal/journal/records.go
@@ -32,7 +32,8 @@
 	Again  int64         `json:"again,omitempty"`
 	Estate uint64        `json:"estate,omitempty"` // that it belongs to; 0 for none, in a relay that copies nothing
 
-	size int64 // bytes that it takes in a compacted journal at most
+	place uint64 // in the order of the journal that has it
+	size  int64  // bytes that it takes in a compacted journal at most
 }
 
 // What a record tells of a message.
--- a/internal/relay/estates.go
+++ b/internal/relay/estates.go
@@ -87,7 +87,10 @@
 	theirs := found != nil && (!known || r.journal.Damaged() || found.Newer(own.Copy))
 	if theirs {
 		next = max(next, found.Next)
-		recs := r.journal.Forget(e.ID)
+		if err := r.journal.Append(r.journal.Forget(e.ID)...); err != nil {
+			return nil, err
+		}
+		var recs []journal.Record
 		for _, rec := range found.Records {
 			if rec.Op == journal.OpTaken && rec.Entry != nil && rec.Entry.Estate == e.ID && r.journal.Entry(rec.Entry.ID) == nil {
 				recs = append(recs, rec)
