--- a/internal/keeper/estates_test.go
+++ b/internal/keeper/estates_test.go
@@ -88,6 +88,14 @@
 	if err := c.Call(ctx, http.MethodGet, api.HeldPath("b"), nil, &held); err != nil || !slices.Equal(held, []uint64{own[0].ID}) {
 		t.Errorf("held by b: %v, %v", held, err)
 	}
+	for range 3 { // a relay that copies nothing knows of no estates, and waits for news as any other
+		asked := time.Now()
+		var s api.Standing
+		call := api.Session{Name: "c", Instance: "c-1", Addr: "c:1", Folder: "c", Estates: estates.Mark(nil), WaitMS: 60}
+		if err := c.Call(ctx, http.MethodPost, api.SessionPath, call, &s); err != nil || time.Since(asked) < 50*time.Millisecond {
+			t.Fatalf("answered after %v of 60 ms though there is no news, %v", time.Since(asked), err)
+		}
+	}
 	for heir := ""; heir == ""; { // a has gone; the others go on
 		for _, name := range []string{"b", "c"} {
 			s, err := session(name, 50*time.Millisecond)
--- a/internal/relay/carry.go
+++ b/internal/relay/carry.go
@@ -29,7 +29,7 @@
 	}
 	h.Serve(l)
 	defer h.Close()
-	s.Addr, s.Folder, s.Owned = conf.Address, h.Folder, func() string { return "none" }
+	s.Addr, s.Folder, s.Owned = conf.Address, h.Folder, func() string { return state.Mark(nil) }
 	if s.Addr == "" {
 		s.Addr = l.Addr().String()
 	}
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -97,6 +97,9 @@
 	if r.heir != nil {
 		return out == 0 && len(r.asked) == 0
 	}
+	if r.copies.waiting() { // clients among them: they are answered, or their messages taken out of the record
+		return false
+	}
 	return out == 0 && (r.stopped || len(r.held)+r.owed == 0)
 }
 
