--- a/internal/estate/owner.go
+++ b/internal/estate/owner.go
@@ -34,7 +34,6 @@
 type Owner struct {
 	Name     string
 	Instance string
-	Before   string // the process before this one; empty for none
 	Adopted  string // the writer that this process goes on as, after a hand-over; empty for none
 	Copies   int
 	Client   *http.Client
@@ -78,7 +77,7 @@
 			o.mu.Unlock()
 			if alone { // none answers: holders can tell whether the folder's word still holds
 				for i := range known {
-					o.begin(ctx, &known[i], o.Before)
+					o.begin(ctx, &known[i], known[i].Writer)
 				}
 			}
 			known = nil
--- a/internal/fleet/kept.go
+++ b/internal/fleet/kept.go
@@ -69,6 +69,13 @@
 	return k
 }
 
+// Sign notes in the folder that this process is the relay's now, so that the next one can say from whom it takes over: else
+// the keepers take it for another of that name until a lease is over.
+func (k *Kept) Sign() error {
+	a := k.hold.Acts(0)
+	return k.save(hold.Told{Turn: a.Turn, Force: a.Force, Next: a.Next})
+}
+
 // learn checks a document as a reload checks a file, and keeps it.
 func (k *Kept) learn(g *api.Generation) error {
 	if _, known := k.docs[g.Number]; known || g.Doc == nil {
--- a/internal/relay/books.go
+++ b/internal/relay/books.go
@@ -74,7 +74,7 @@
 	ms := func(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
 	id := e.ID
 	if e.Status != "" {
-		r.owe(notice{e.ID, e.Status, e.Again})
+		r.owe(notice{ID: e.ID, Status: e.Status, Again: e.Again})
 		return
 	}
 	if e.Out && r.heritage.callOf(id) == nil {
@@ -83,7 +83,7 @@
 	}
 	class := r.set.Load().class(e.Class, 0)
 	if class < 0 && e.Terms == nil { // taken on by a version that did not record them
-		r.give(&message{Entry: e}, notice{e.ID, undeliverable, 0})
+		r.give(&message{Entry: e}, notice{ID: e.ID, Status: undeliverable})
 		return
 	}
 	m := &message{Entry: e, due: r.now() + ms(e.Due-wall)}
@@ -115,11 +115,7 @@
 // give ends a message undelivered.
 func (r *Relay) give(m *message, n notice) {
 	r.record(journal.Record{Op: journal.OpNotice, ID: m.ID, Status: n.Status, Again: n.Again})
-	how := refusedEnd
-	if n.Status == undeliverable {
-		how = failedEnd
-	}
-	r.figures.ended(m.Class, how)
+	n.class = m.Class
 	r.owe(n)
 	r.drop(m)
 }
@@ -147,6 +143,9 @@
 				return
 			}
 			for _, n := range untold {
+				if n.class != "" {
+					r.figures.ended(n.class, n.how())
+				}
 				r.notices <- n // holds more than can be owed
 			}
 		}
--- a/internal/relay/carry.go
+++ b/internal/relay/carry.go
@@ -11,6 +11,7 @@
 	"larchrouter/internal/estate/state"
 	"larchrouter/internal/fleet"
 	"larchrouter/internal/keeper/api"
+	"larchrouter/internal/remedy"
 )
 
 // carry takes copies of others, and keeps up with this relay's own, until the context ends. Without a holder's address it only
@@ -21,6 +22,16 @@
 		s.Run(ctx)
 		return
 	}
+	signed := make(chan error, 1)
+	r.post(func() { signed <- r.kept.Sign() })
+	select {
+	case err := <-signed:
+		if err != nil {
+			slog.Error("the folder does not name this process", "err", err, "remedy", remedy.Of(err))
+		}
+	case <-r.quit:
+		return
+	}
 	h, l, err := r.openHolder(ctx)
 	if err != nil {
 		slog.Error("no copies are taken", "err", err, "remedy", "free the fleet address or the folder, and restart the relay")
@@ -121,7 +132,7 @@
 	c.client = &http.Client{Transport: conns}
 	keepers := &api.Client{HTTP: &http.Client{Transport: &http.Transport{DisableCompression: true, IdleConnTimeout: idleIn,
 		DialContext: dialer(r.conf.Source, time.Second).DialContext, MaxIdleConnsPerHost: 1}}, Keepers: r.conf.Fleet.Keepers}
-	c.owner = &estate.Owner{Name: r.conf.Name, Instance: r.kept.Instance, Before: r.kept.Before, Adopted: c.adopted, Copies: c.conf.Copies, Client: c.client, Books: (*ownBooks)(r),
+	c.owner = &estate.Owner{Name: r.conf.Name, Instance: r.kept.Instance, Adopted: c.adopted, Copies: c.conf.Copies, Client: c.client, Books: (*ownBooks)(r),
 		Say: func(ctx context.Context, e state.Event) (all []*state.Estate, err error) {
 			err = keepers.Call(ctx, http.MethodPost, api.EstatesPath, e, &all)
 			return all, err
--- a/internal/relay/handover_test.go
+++ b/internal/relay/handover_test.go
@@ -112,7 +112,7 @@
 	wait(t, calls, "call")
 	fourth := upgrade(t, p, third)
 	third.stop()
-	want(t, "notice", wait(t, p.notices, "notice"), notice{"m6", undeliverable, 0})
+	want(t, "notice", wait(t, p.notices, "notice"), notice{ID: "m6", Status: undeliverable})
 	shows(t, fourth, "svc.requests.payment.failed=1", "svc.in_flight=0")
 	want(t, "further calls", len(calls), 0)
 }
--- a/internal/relay/notices.go
+++ b/internal/relay/notices.go
@@ -27,6 +27,15 @@
 	ID     string `json:"id"`
 	Status string `json:"status"`
 	Again  int64  `json:"again_ms,omitempty"` // when the client should come again
+	class  string // of a message that ended in this process; empty for one that an earlier one ended
+}
+
+// how is the ending that a notice tells of.
+func (n notice) how() ending {
+	if n.Status == undeliverable {
+		return failedEnd
+	}
+	return refusedEnd
 }
 
 // tell sends notices until the context ends. What the platform did not take is sent
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -507,7 +507,7 @@
 	hand(t, r.Addr(), "m1", "payment")
 	wait(t, calls, "call").answer <- 500 // it may have run, and must not again
 	n := wait(t, p.notices, "notice")
-	want(t, "notice", n, notice{"m1", undeliverable, 0})
+	want(t, "notice", n, notice{ID: "m1", Status: undeliverable})
 	owed := make(chan int)
 	for {
 		r.post(func() { owed <- r.owed + r.journal.Len() })
@@ -638,7 +638,7 @@
 			_, addr = process(t, p, state)
 			up(t, addr)
 			if class == "payment" {
-				want(t, "notice", wait(t, p.notices, "notice"), notice{"m1", undeliverable, 0})
+				want(t, "notice", wait(t, p.notices, "notice"), notice{ID: "m1", Status: undeliverable})
 				hand(t, addr, "m2", class)
 				c := wait(t, calls, "call")
 				want(t, "id of the next call", c.id, "m2")
@@ -707,7 +707,7 @@
 	want(t, "next one", strings.HasPrefix(wait(t, moved.asked, "query"), "since=1&"), true)
 	hand(t, addr, "m1", "payment")
 	wait(t, calls, "call").answer <- 500
-	want(t, "notice", wait(t, moved.notices, "notice"), notice{"m1", undeliverable, 0})
+	want(t, "notice", wait(t, moved.notices, "notice"), notice{ID: "m1", Status: undeliverable})
 }
 
 // Guards against a late notice for what ran out of time while the relay was down.
@@ -862,7 +862,7 @@
 		t.Fatalf("notice %v before the message's time was up", <-p.notices)
 	}
 	process(t, p, state)
-	want(t, "notice", wait(t, p.notices, "notice"), notice{"m1", undeliverable, 0})
+	want(t, "notice", wait(t, p.notices, "notice"), notice{ID: "m1", Status: undeliverable})
 	want(t, "further calls", len(calls), 0)
 }
 
--- a/internal/relay/reload_test.go
+++ b/internal/relay/reload_test.go
@@ -79,7 +79,7 @@
 	late := wait(t, calls, "call")
 	late.answer <- 200
 	fresh.answer <- 500 // at most once now
-	want(t, "notice", wait(t, moved.notices, "notice"), notice{"new", undeliverable, 0})
+	want(t, "notice", wait(t, moved.notices, "notice"), notice{ID: "new", Status: undeliverable})
 	open.answer <- 500 // it may be repeated, as it could when it came
 	again := wait(t, calls, "call")
 	want(t, "id of the repeat", again.id, "old")
--- a/internal/relay/step.go
+++ b/internal/relay/step.go
@@ -125,7 +125,7 @@
 	case m.fresh != nil:
 		r.refuse(m, after)
 	default:
-		r.give(m, notice{id, status, after.Milliseconds()})
+		r.give(m, notice{ID: id, Status: status, Again: after.Milliseconds()})
 	}
 }
 
