--- a/internal/lab/command/command.go
+++ b/internal/lab/command/command.go
@@ -9,9 +9,7 @@
 	"os"
 	"os/signal"
 	"path/filepath"
-	"strings"
 	"syscall"
-	"time"
 
 	"github.com/pelletier/go-toml/v2"
 	"github.com/spf13/cobra"
@@ -169,59 +167,6 @@
 	return d, nil
 }
 
-// verdict prints a result, and returns what its exit code has to tell.
-func verdict(ctx context.Context, out io.Writer, r *lab.Result) error {
-	fmt.Fprintf(out, "%s, seed %d: %s\n", r.Scenario.Name, r.Scenario.Seed, r.Report)
-	shown(out, r.Report)
-	var relays float64
-	for _, u := range r.Report.Use {
-		relays += u.CPU
-	}
-	for _, t := range r.Report.TakenOver {
-		fmt.Fprintln(out, t)
-	}
-	if a := r.Report.Agreed; a != nil {
-		fmt.Fprintln(out, "agreement:", a)
-	}
-	fmt.Fprintf(out, "processor time: relays %.1f s, lab %.1f s; the lab's timers late by %.1f ms (50%%), %.1f (99%%), %.1f at most\n",
-		relays, r.LabCPU, r.Lateness.P50, r.Lateness.P99, r.Lateness.Max)
-	if r.Folder != "" {
-		fmt.Fprintln(out, "kept in", r.Folder)
-	}
-	for _, f := range r.Failures {
-		fmt.Fprintf(out, "NOT HELD  %s: %s\n", f.Expectation, f.Text)
-	}
-	switch {
-	case ctx.Err() != nil:
-		return &exit{stuck, errors.New("interrupted")}
-	case r.Void != "":
-		return &exit{stuck, errors.New("void: " + r.Void)}
-	case len(r.Failures) > 0:
-		return &exit{failed, fmt.Errorf("%d expectations did not hold", len(r.Failures))}
-	}
-	fmt.Fprintln(out, "every expectation held")
-	return nil
-}
-
-// shown prints the broken rules, and what of the rules was never tried.
-func shown(out io.Writer, r *rules.Report) {
-	for _, b := range r.Shown {
-		fmt.Fprintln(out, b)
-		for _, e := range b.Lines {
-			fmt.Fprintln(out, "    ", e)
-		}
-	}
-	var untried []string
-	for _, rule := range rules.All {
-		if r.Looked[rule] == 0 {
-			untried = append(untried, string(rule))
-		}
-	}
-	if len(untried) > 0 {
-		fmt.Fprintln(out, "rules that nothing in this run tried:", strings.Join(untried, ", "))
-	}
-}
-
 func newCheck(out io.Writer) *cobra.Command {
 	return &cobra.Command{Use: "check HISTORY", Short: "Judge a history again", Args: cobra.ExactArgs(1),
 		RunE: func(_ *cobra.Command, args []string) error {
@@ -247,80 +192,3 @@
 			return nil
 		}}
 }
-
-// line is a run's progress in one line.
-func line(p lab.Progress) string {
-	up := 0
-	var open, cpu float64
-	for _, r := range p.Rows {
-		if r.State == "up" {
-			up++
-		}
-		open += r.Figures["svc.in_flight"]
-		cpu += r.Use.CPU.Seconds()
-	}
-	text := fmt.Sprintf("%5.1f s  %d of %d relays up, %d messages asked for, %d served in time, %.0f held, %d rules broken",
-		p.At.Seconds(), up, len(p.Rows), p.Asked, p.InTime, open, p.Broken)
-	if len(p.Faults) > 0 {
-		text += "  [" + strings.Join(p.Faults, "; ") + "]"
-	}
-	return text
-}
-
-// upFor bounds a run that goes on until it is interrupted.
-const upFor = 24 * time.Hour
-
-func newUp(out io.Writer) *cobra.Command {
-	s := scenario.Default()
-	s.Name = "up"
-	var rate float64
-	var dir string
-	var noBuild bool
-	c := &cobra.Command{Use: "up", Short: "An emulated platform and relays under steady load, until interrupted", Args: cobra.NoArgs,
-		RunE: func(c *cobra.Command, _ []string) error {
-			s.Load.Rate = rate
-			if !c.Flags().Changed("for") {
-				s.Duration = scenario.Duration(upFor)
-			}
-			if err := s.Check(); err != nil {
-				return &exit{wrongFile, err}
-			}
-			fmt.Fprintln(out, "building what deploy/balancer.toml starts ...")
-			o, err := built(c.Context(), noBuild, s.Fleet.Keepers)
-			if err != nil {
-				return &exit{stuck, err}
-			}
-			fmt.Fprintf(out, "starting %d relays; Ctrl-C ends everything\n", s.Fleet.Relays)
-			t := newTable(out)
-			o.Each = t.draw
-			r, err := lab.Run(c.Context(), s, o)
-			if err != nil {
-				return &exit{stuck, err}
-			}
-			fmt.Fprintln(out)
-			if dir != "" {
-				if err := report.Write(dir, r); err != nil {
-					return &exit{stuck, err}
-				}
-				fmt.Fprintln(out, "report:", filepath.Join(dir, "index.html"))
-			}
-			return verdict(context.Background(), out, r)
-		}}
-	c.Flags().IntVar(&s.Fleet.Relays, "relays", s.Fleet.Relays, "how many relays")
-	c.Flags().IntVar(&s.Fleet.Keepers, "keepers", 0, "how many keepers: 0, 1, 3 or 5")
-	c.Flags().Float64Var(&rate, "rate", s.Load.Rate, "messages a second")
-	c.Flags().Uint64Var(&s.Seed, "seed", s.Seed, "what the platform is drawn from")
-	c.Flags().StringVar(&dir, "report", "", "write a page with plots to this folder at the end")
-	c.Flags().Var((*durationFlag)(&s.Duration), "for", "end by itself after this time")
-	c.Flags().BoolVar(&noBuild, "no-build", false, "start what is built already")
-	return c
-}
-
-// durationFlag reads a time as a scenario does.
-type durationFlag scenario.Duration
-
-func (d *durationFlag) Set(text string) error {
-	return (*scenario.Duration)(d).UnmarshalText([]byte(text))
-}
-func (d *durationFlag) String() string { return scenario.Duration(*d).String() }
-func (d *durationFlag) Type() string   { return "duration" }
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -8,7 +8,6 @@
 	"io"
 	"math/rand/v2"
 	"os"
-	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -23,73 +22,6 @@
 	"larchrouter/internal/lab/scenario"
 )
 
-// Options are what a run needs beside its scenario.
-type Options struct {
-	Root    string         // where the command is started
-	Command string         // that starts one relay, as the deploy file has it
-	Keeper  string         // that starts one keeper
-	Env     []string       // further variables for it
-	Folder  string         // where the run's folder is made; empty for the system's
-	Keep    bool           // the run's folder, with logs and configurations
-	History string         // file for the history; empty for none
-	Draw    *platform.Draw // in place of what the seed would draw; nil for that
-	Each    func(Progress) // told every second; nil for nobody
-}
-
-// Row is what is known of a relay at a time.
-type Row struct {
-	Name, State string
-	Use         proc.Use
-	Figures     map[string]float64
-}
-
-// Progress is how a run stands.
-type Progress struct {
-	At     time.Duration
-	Of     time.Duration
-	Rows   []Row
-	Faults []string // that are on
-	Asked  int
-	InTime int
-	Broken int
-}
-
-// Failure is an expectation that did not hold.
-type Failure struct {
-	Expectation string `json:"expectation"`
-	Text        string `json:"text"`
-}
-
-// Result is a run's.
-type Result struct {
-	Scenario *scenario.Scenario `json:"scenario"`
-	Draw     *platform.Draw     `json:"draw"`
-	Report   *rules.Report      `json:"report"`
-	Failures []Failure          `json:"failures,omitempty"`
-	Void     string             `json:"void,omitempty"` // why the run shows nothing; empty if it does
-	Faults   []Span             `json:"faults"`
-	Lateness Lateness           `json:"lateness_ms"`
-	LabCPU   float64            `json:"lab_cpu_s"`
-	Folder   string             `json:"folder,omitempty"`
-	Trouble  []string           `json:"trouble,omitempty"` // what the lab could not do
-}
-
-// Lateness is by how much the lab's own timers came late, in milliseconds: the error of its stamps.
-type Lateness struct{ P50, P99, Max float64 }
-
-// Span is when a fault was on, in seconds.
-type Span struct {
-	From, To float64
-	Text     string
-}
-
-// tooLate is the lateness of the lab's timers, 99 of 100, above which a run shows nothing of the relays: the
-// machine is too busy for what is asked of it.
-const tooLate = 50 * time.Millisecond
-
-// tooFarBehind is the lag of the load above which it was not the load that was asked for.
-const tooFarBehind = 500 * time.Millisecond
-
 // world is a run.
 type world struct {
 	scenario  *scenario.Scenario
@@ -302,80 +234,6 @@
 	return nil
 }
 
-// play has load, faults and steps come when they are due, and waits until what was taken on has its end.
-func (w *world) play(ctx context.Context, checks *sync.Mutex) {
-	began := time.Now()
-	var parts sync.WaitGroup
-	after := func(at scenario.Duration, f func()) {
-		parts.Go(func() {
-			select {
-			case <-ctx.Done():
-			case <-time.After(time.Until(began.Add(time.Duration(at)))):
-				f()
-			}
-		})
-	}
-	for i, f := range w.scenario.Faults {
-		at := f.At
-		if f.Kind == "rollback" { // the folder is copied first
-			at -= f.By
-		}
-		after(at, func() { w.fault(ctx, i, f) })
-	}
-	for _, st := range w.scenario.Steps {
-		after(st.At, func() { w.step(ctx, st) })
-	}
-	loaded, unload := context.WithTimeout(ctx, time.Duration(w.scenario.Duration))
-	defer unload()
-	parts.Go(func() { w.clients.Play(loaded) })
-	parts.Go(func() { w.strangers.Play(loaded) })
-	go w.watch(ctx, began, checks)
-	parts.Wait()
-	most := time.Duration(w.scenario.Load.Deadline) + 8*time.Second
-	ended := w.clock.Now()
-	for end := time.Now().Add(most); time.Now().Before(end) && ctx.Err() == nil; time.Sleep(100 * time.Millisecond) {
-		checks.Lock()
-		done := w.checker.Owing() == 0 && w.checker.Now().Microseconds() > ended
-		checks.Unlock()
-		if done {
-			return
-		}
-	}
-}
-
-// watch looks at all relays every second.
-func (w *world) watch(ctx context.Context, began time.Time, checks *sync.Mutex) {
-	for tick := time.NewTicker(time.Second); ; {
-		select {
-		case <-ctx.Done():
-			tick.Stop()
-			return
-		case <-tick.C:
-		}
-		rows := make([]Row, len(w.relays))
-		var g errgroup.Group
-		g.SetLimit(16)
-		for i, r := range w.relays {
-			g.Go(func() error { rows[i] = r.look(ctx); return nil })
-		}
-		g.Wait()
-		if w.options.Each == nil {
-			continue
-		}
-		p := Progress{At: time.Since(began), Of: time.Duration(w.scenario.Duration), Rows: rows}
-		checks.Lock()
-		p.Asked, p.InTime, p.Broken = w.checker.Standing()
-		checks.Unlock()
-		w.mu.Lock()
-		for _, i := range w.on {
-			p.Faults = append(p.Faults, w.spans[i].Text)
-		}
-		w.mu.Unlock()
-		slices.Sort(p.Faults)
-		w.options.Each(p)
-	}
-}
-
 // cannot notes what the lab could not do.
 func (w *world) cannot(what string, err error) {
 	w.mu.Lock()
--- a/internal/lab/relay.go
+++ b/internal/lab/relay.go
@@ -4,13 +4,11 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"larchrouter/internal/lab/history"
@@ -49,59 +47,6 @@
 	portsMost  = 100
 )
 
-// freeAddr finds a port of an address, from one upwards, that nobody listens on.
-func freeAddr(ip string, port int) (addr string, err error) {
-	for p := port; p < port+portsMost; p++ {
-		addr = fmt.Sprintf("%s:%d", ip, p)
-		l, lerr := net.Listen("tcp4", addr)
-		if lerr == nil {
-			l.Close()
-			return addr, nil
-		}
-		err = lerr
-	}
-	return "", err
-}
-
-// block is a part of the loopback range that belongs to this run alone, as long as it holds the lock: processes
-// keep their addresses across restarts, and none may be taken meanwhile by another lab on this machine.
-type block struct {
-	prefix string // 127.N
-	lock   net.Listener
-}
-
-// The blocks, and the port whose listener is the lock of one. What other programs use lies below.
-const (
-	firstBlock = 16
-	lastBlock  = 250
-	lockPort   = 15999
-)
-
-// takeBlock takes a block that no other run has.
-func takeBlock() (block, error) {
-	from := firstBlock + os.Getpid()%(lastBlock-firstBlock)
-	var last error
-	for i := range lastBlock - firstBlock {
-		n := firstBlock + (from-firstBlock+i)%(lastBlock-firstBlock)
-		l, err := net.Listen("tcp4", fmt.Sprintf("127.%d.255.254:%d", n, lockPort))
-		if err == nil {
-			return block{fmt.Sprintf("127.%d", n), l}, nil
-		}
-		last = err
-	}
-	return block{}, fmt.Errorf("no part of the loopback range is free: %w", last)
-}
-
-// relayIP is the address of the nth relay.
-func (b block) relayIP(n int) string { return fmt.Sprintf("%s.%d.%d", b.prefix, n/250, 1+n%250) }
-
-// clientIP is the address of the nth client.
-func (b block) clientIP(n int) string { return fmt.Sprintf("%s.%d.%d", b.prefix, 100+n/250, 1+n%250) }
-
-// strangerIP is where strangers come from, sharedIP where parties stand that all relays reach at one address.
-func (b block) strangerIP() string { return b.prefix + ".200.1" }
-func (b block) sharedIP() string   { return b.prefix + ".201.1" }
-
 // newRelay makes a relay's folder, addresses and links.
 func newRelay(w *world, index int) (*relay, error) {
 	r := &relay{name: fmt.Sprintf("relay/%d", index), w: w, dir: filepath.Join(w.dir, fmt.Sprintf("relay-%d", index))}
@@ -266,65 +211,3 @@
 		}
 	})
 }
-
-// retune puts a changed configuration in place and sends SIGHUP. Broken says how the file is spoilt.
-func (r *relay) retune(change func(settings map[string]any), broken string) error {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.now == nil {
-		return nil
-	}
-	change(r.config.Settings)
-	data, err := r.encode()
-	if err != nil {
-		return err
-	}
-	switch broken {
-	case "cut":
-		data = data[:len(data)/2]
-	case "empty":
-		data = nil
-	case "missing":
-		c := r.config
-		c.Settings = map[string]any{}
-		for k, v := range r.config.Settings {
-			if k != "rules" {
-				c.Settings[k] = v
-			}
-		}
-		if data, err = json.Marshal(c); err != nil {
-			return err
-		}
-	}
-	if err := r.write(data); err != nil {
-		return err
-	}
-	return r.now.Signal(syscall.SIGHUP, false)
-}
-
-// byHand takes an endpoint out at the relay, or gives it back.
-func (r *relay) byHand(ctx context.Context, endpoint string, out bool) error {
-	r.mu.Lock()
-	admin, up := r.admin, r.now != nil
-	r.mu.Unlock()
-	if !up {
-		return nil
-	}
-	how := "enable"
-	if out {
-		how = "disable"
-	}
-	ctx, cancel := context.WithTimeout(ctx, time.Second)
-	defer cancel()
-	if !out { // it may be sent to from now on
-		r.w.record(history.Event{Kind: history.ByHand, Relay: r.name, Endpoint: endpoint, How: how})
-	}
-	status, err := platform.ByHand(ctx, admin, endpoint, out)
-	if out {
-		r.w.record(history.Event{Kind: history.ByHand, Relay: r.name, Endpoint: endpoint, How: how, Status: status})
-	}
-	if err != nil || status/100 != 2 {
-		return fmt.Errorf("%s: %s %s: status %d, %v", r.name, how, endpoint, status, err)
-	}
-	return nil
-}
