--- a/internal/estate/estate_test.go
+++ b/internal/estate/estate_test.go
@@ -274,10 +274,10 @@
 	for i := range 50 {
 		recs = append(recs, taken(fmt.Sprint("m", i), 100))
 	}
-	next := s.Append(recs...)
+	next := s.Append(true, recs...)
 	until("that records count though one holder is silent", func(st Standing) bool { return st.Counted == next })
 	shut.Store(true)
-	held := s.Append(taken("late", 100))
+	held := s.Append(true, taken("late", 100))
 	time.Sleep(50 * time.Millisecond)
 	if st := s.Standing(); st.Counted >= held {
 		t.Errorf("a record counts that one holder of three has, where two are asked for: %+v", st)
--- a/internal/estate/stream.go
+++ b/internal/estate/stream.go
@@ -16,6 +16,7 @@
 	underWay   = 3                      // batches on their way to one holder
 	firstPause = 20 * time.Millisecond  // after a call that failed
 	longPause  = 500 * time.Millisecond // at the most
+	behindFor  = 20 * time.Millisecond  // for which records wait that nothing waits for
 	clockFor   = 5 * time.Second        // for which what was learnt of another clock is held to be true
 )
 
@@ -39,6 +40,7 @@
 	wake  chan struct{} // closed with each record
 	ends  map[*state.Follower]context.CancelFunc
 	shut  bool
+	soon  bool // holders are to be sent what there is in a while
 }
 
 // NewStream begins to write an estate, whose next record has a number.
@@ -85,8 +87,9 @@
 	clear(s.ends)
 }
 
-// Append has records follow, and returns the number after them: they count once Counted has come to it.
-func (s *Stream) Append(recs ...journal.Record) (next uint64) {
+// Append has records follow, and returns the number after them: they count once Counted has come to it. Those that nothing
+// waits for go along with the next that something does, or in a while.
+func (s *Stream) Append(awaited bool, recs ...journal.Record) (next uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, r := range recs {
@@ -102,9 +105,25 @@
 	}
 	s.w.Next += uint64(len(recs))
 	s.trim()
+	switch {
+	case awaited:
+		s.rouse()
+	case !s.soon:
+		s.soon = true
+		time.AfterFunc(behindFor, func() {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.rouse()
+		})
+	}
+	return s.w.Next
+}
+
+// rouse has holders be sent what there is. The lock is held.
+func (s *Stream) rouse() {
+	s.soon = false
 	close(s.wake)
 	s.wake = make(chan struct{})
-	return s.w.Next
 }
 
 // trim drops records that all who follow have, and what goes beyond the bound. The lock is held.
--- a/internal/relay/copies.go
+++ b/internal/relay/copies.go
@@ -100,7 +100,7 @@
 	}
 	left, failed := len(of), false
 	for s, own := range of {
-		next := s.Append(own...)
+		next := s.Append(then != nil, own...)
 		if then == nil {
 			continue
 		}
