--- a/internal/estate/cost_test.go
+++ b/internal/estate/cost_test.go
@@ -69,7 +69,8 @@
 		b.Run(fmt.Sprint(together), func(b *testing.B) {
 			hs := holders(b, 3)
 			news := make(chan struct{}, 1)
-			s := NewStream(1, "w", 1, http.DefaultClient, func(context.Context) ([]journal.Record, uint64, bool) { return nil, 1, true }, func() {
+			var s *Stream
+			s = NewStream(1, "w", 1, http.DefaultClient, func(context.Context) ([]journal.Record, uint64, bool) { return nil, s.Next(), true }, func() {
 				select {
 				case news <- struct{}{}:
 				default:
@@ -77,6 +78,9 @@
 			}, func(*state.Sealed) {})
 			defer s.Close()
 			s.Set(1, 2, hs)
+			for !s.Standing().Filled {
+				<-news
+			}
 			n := 0
 			for b.Loop() {
 				var recs []journal.Record
