--- a/choice/choice.go
+++ b/choice/choice.go
@@ -1,10 +1,11 @@
 package choice
 
-// All decisions of the gateway; the interface is in api.go and events.go, plain state in state.go and known.go.
-// Here: constants, one step, the endpoint list. The time-outs are in oracle.go; health, pacing and waits in
-// health.go; admission and final answers in answers.go; the turn in turn.go; which message goes where, and the
-// order of keys, in pick.go; what outlasts a process in restore.go; what operators do by hand and the budget of
-// what comes back cold in hand.go; one relay's part of what a unit takes from the fleet in fleet.go.
+// All decisions of the gateway; the interface is in api.go and events.go, plain state in state.go and
+// known.go. Here: constants, one step, the endpoint list. The time-outs are in oracle.go; health, pacing
+// and waits in health.go; admission and final answers in answers.go; the turn in turn.go; which message
+// goes where, and the order of keys, in pick.go; what outlasts a process in restore.go; what operators do
+// by hand and the budget of what comes back cold in hand.go; one relay's part of what a unit takes from
+// the fleet in fleet.go.
 
 import (
 	"slices"
