--- a/choice/health.go
+++ b/choice/health.go
@@ -74,10 +74,10 @@
 	}
 	// Refusals alone, for longer than a limit explains, are those of a shut destination.
 	fall, longest := c.set.Rules.Fall, 2*c.set.Rules.Fall/3
-	if c.metered(u) {
+	if c.metered(u) || u.state == recovering { // which is told waits of what is left of its limit
 		longest = fall
 	}
-	if u.state == healthy && (wait > longest || u.bad > 6 && c.now-u.lastServed >= fall) {
+	if u.state != suspect && (wait > longest || u.bad > 6 && c.now-u.lastServed >= fall) {
 		c.suspect(u, d, "refusals only")
 	}
 }
