--- a/internal/estate/sweep.go
+++ b/internal/estate/sweep.go
@@ -24,11 +24,8 @@
 	if err := c.now.Promise(p.Epoch, p.Writer, p.Before); err != nil {
 		return nil, err
 	}
-	c.over = true
-	c.j.Close()
-	delete(h.copies, p.Estate)
-	if err := os.RemoveAll(filepath.Join(h.dir, strconv.FormatUint(p.Estate, 10))); err != nil {
-		return nil, &Disk{h.dir, err}
+	if err := h.remove(p.Estate, c); err != nil {
+		return nil, err
 	}
 	return Taken{Stamp: h.now()}, nil
 }
@@ -43,13 +40,21 @@
 		if slices.Contains(held, id) {
 			c.unheld = 0
 		} else if c.unheld++; c.unheld > 1 {
-			c.over = true
-			c.j.Close()
-			delete(h.copies, id)
-			if err := os.RemoveAll(filepath.Join(h.dir, strconv.FormatUint(id, 10))); err != nil {
+			if err := h.remove(id, c); err != nil {
 				slog.Error("a copy of no use stays", "estate", id, "err", err)
 			}
 		}
 		c.mu.Unlock()
 	}
 }
+
+// remove ends a copy, and takes it off the disk. Both locks are held.
+func (h *Holder) remove(id uint64, c *copied) error {
+	c.over = true
+	c.j.Close()
+	delete(h.copies, id)
+	if err := os.RemoveAll(filepath.Join(h.dir, strconv.FormatUint(id, 10))); err != nil {
+		return &Disk{h.dir, err}
+	}
+	return nil
+}
--- a/internal/keeper/state/events.go
+++ b/internal/keeper/state/events.go
@@ -69,26 +69,18 @@
 
 // What an event is refused with. The log has it all the same; the state is as before.
 var (
-	ErrUnknown  = &Refusal{"no such member, or another process of that name", "nothing: the relay begins another session"}
-	ErrTaken    = &Refusal{"another process has the session of that name", "see whether two relays have the same name; after a restart it ends by itself with the lease"}
-	ErrBase     = &Refusal{"another generation is in force than the one that was to be changed", "look at what is in force by now, and make the change to that"}
-	ErrFull     = &Refusal{"too many changes wait already", "give up those that are not wanted any more, or see which relays the first one waits for"}
-	ErrMembers  = &Refusal{"too many members", "see which relays are there that should not be"}
-	ErrDoc      = &Refusal{"the document is empty, too long or no JSON", "correct the file"}
-	ErrStage    = &Refusal{"the generation is not where that could be done", "look at where it stands with larchctl status"}
-	ErrBadEvent = &Refusal{"the event is none", "see whether keepers and callers are of neighbouring versions"}
+	ErrUnknown  = &Refusal{What: "no such member, or another process of that name", Advice: "nothing: the relay begins another session"}
+	ErrTaken    = &Refusal{What: "another process has the session of that name", Advice: "see whether two relays have the same name; after a restart it ends by itself with the lease"}
+	ErrBase     = &Refusal{What: "another generation is in force than the one that was to be changed", Advice: "look at what is in force by now, and make the change to that"}
+	ErrFull     = &Refusal{What: "too many changes wait already", Advice: "give up those that are not wanted any more, or see which relays the first one waits for"}
+	ErrMembers  = &Refusal{What: "too many members", Advice: "see which relays are there that should not be"}
+	ErrDoc      = &Refusal{What: "the document is empty, too long or no JSON", Advice: "correct the file"}
+	ErrStage    = &Refusal{What: "the generation is not where that could be done", Advice: "look at where it stands with larchctl status"}
+	ErrBadEvent = &Refusal{What: "the event is none", Advice: "see whether keepers and callers are of neighbouring versions"}
 )
 
-// Refusal is why an event changed nothing.
-type Refusal struct {
-	What   string
-	Advice string // what an operator can do
-}
-
-func (r *Refusal) Error() string { return r.What }
-
-// Remedy says what an operator can do.
-func (r *Refusal) Remedy() string { return r.Advice }
+// Refusal is why an event changed nothing, with what an operator can do.
+type Refusal = estates.Refusal
 
 // Result is what an event led to.
 type Result struct {
