choice: tells how long before its end a waiting message gets its final answer

Need: what holds messages elsewhere has to hand in those that run out of time just then, or millions of them fill the room.

The figure was written out where answers are given; it is a method now, used there and exported.

--- a/choice/answers.go
+++ b/choice/answers.go
@@ -156,7 +156,7 @@
 	for _, d := range c.live {
 		for i := len(d.waiting) - 1; i >= 0; i-- {
 			m := d.waiting[i]
-			if m.due-c.now <= margin*c.set.Tick+c.nap || !c.repeatable(m) {
+			if m.due-c.now <= c.LastLook() || !c.repeatable(m) {
 				c.final(m)
 			}
 		}
--- a/choice/known.go
+++ b/choice/known.go
@@ -28,6 +28,10 @@
 
 func (c *Chooser) log(format string, args ...any) { c.act(Log{fmt.Sprintf(format, args...)}) }
 
+// LastLook is how long before its end a waiting message gets its final answer at the latest; a wake-up comes
+// at least as often as its smaller part. It changes only by a Step with Reconfigured, and binds what waits then, too.
+func (c *Chooser) LastLook() time.Duration { return margin*c.set.Tick + c.nap }
+
 // table holds the latencies of one destination. Old samples fade: each new one weighs a
 // little more than the one before it.
 type table struct {
