choice: a call that runs on counts at its message's destination

In a hand-over, with an endpoint that went to another destination while a call to it ran, the message stayed on the list of those waiting: it was sent again while out, and where the holding room was crowded it was chosen as the least worth for ever, for it had ended already.

Change: the slots and the place in the queue are those of the message's destination, as when the call ends.

--- a/choice/memory.go
+++ b/choice/memory.go
@@ -15,10 +15,11 @@
 	Ago  time.Duration // since it went out
 }
 
-// adopt has a message out with the call that another process made. It takes the slots that it took there.
+// adopt has a message out with the call that another process made. It takes the slots that it took there. They
+// are its destination's, though the list may have the endpoint at another one by now.
 func (c *Chooser) adopt(m *message, r *Running) {
 	h := c.hosts[r.Host]
-	u, d := h.unit, h.dest
+	u, d := h.unit, m.dest
 	i := slices.IndexFunc(u.outs, func(k *call) bool { return k.adopted == r.Call })
 	if i < 0 {
 		i = len(u.outs)
--- a/choice/memory_test.go
+++ b/choice/memory_test.go
@@ -85,3 +85,25 @@
 		t.Errorf("%d sends, want 1", got)
 	}
 }
+
+// Guards against two attempts at once, and against a Step without end, where an endpoint went to another destination
+// while a call to it ran: the message still waited at its own, and was sent and answered as if it were not out.
+func TestCallThatRunsOnTakesTheSlotsOfItsMessagesDestination(t *testing.T) {
+	s := settings()
+	s.MaxHeld = 2
+	r := newRig(t, s, ready("a", 1, 0, 0), ready("moved", 2, 0, 0))
+	acts := r.step(Restored{Arrival: Arrival{ID: "out", Class: 0, Dest: 1, Left: 9 * time.Second}, Attempts: 1,
+		Out: &Running{Host: "moved", Call: 1, Ago: 50 * ms}}, arrival("b", 0), arrival("c", 0))
+	for _, a := range sends(acts) {
+		if a.ID == "out" {
+			t.Errorf("sent %+v while an attempt runs", a)
+		}
+	}
+	if d := r.c.dests[2]; d.out != 0 || r.c.dests[1].out == 0 {
+		t.Errorf("%d calls out at the endpoint's destination and %d at the message's, want none and some", d.out, r.c.dests[1].out)
+	}
+	r.step(Result{ID: "out", Host: "moved", Outcome: Served, Done: true})
+	if r.c.dests[1].out < 0 || r.c.dests[2].out < 0 {
+		t.Errorf("%d and %d calls out, none can be below 0", r.c.dests[1].out, r.c.dests[2].out)
+	}
+}
