choice: a step looks at what happened and what is due

Need: each Step walked all that was held, and news of one endpoint all that is listed.

Change, as docs/cost.md has it: ends of those that wait in a heap; destinations parked while nothing can be sent to them, their paces caught up with when they are looked at; news of the list look at what they name and at what is still remembered of the gone; calls out by destination; Excluded keeps a count. Messages and keys leave their queues without a walk. What keeps places and what hands events on is in unlisted files now (index.go, due.go, parked.go, known.go): it decides nothing.

The test of what outlasts its cause (soak) looks at the new places as well.

--- a/choice/answers.go
+++ b/choice/answers.go
@@ -16,14 +16,9 @@
 	m.born, m.past = m.due-k.Deadline, !c.within(e.Tenant)
 	c.msgs[e.ID] = m
 	c.held++
-	c.queue(m)
+	c.wait(m)
 	if k.Ordered && e.Key != "" {
-		l := c.lines[e.Key]
-		if l == nil {
-			l = &line{key: e.Key}
-			c.lines[e.Key] = l
-		}
-		l.queue = append(l.queue, m)
+		c.line(m)
 	}
 }
 
@@ -34,12 +29,10 @@
 		return
 	}
 	k, h, u, d := m.call, m.call.host, m.call.host.unit, m.dest
+	c.touch(d)
+	c.touch(h.dest)
 	u.waitUntil = max(u.waitUntil, c.now+e.Wait) // it binds with any outcome
-	m.call, m.last = nil, h
-	if k.members = remove(k.members, m); len(k.members) == 0 {
-		c.busy, d.out, h.out = c.busy-1, d.out-1, h.out-1
-		u.outs = remove(u.outs, k)
-	}
+	c.back(m)
 	if r := c.set.ReportLimit; r >= 0 && r < len(e.Report) && e.Report[r] > 0 {
 		u.tell(e.Report[r])
 		if r = c.set.ReportLeft; e.Outcome == Served && r >= 0 && r < len(e.Report) {
@@ -93,15 +86,7 @@
 	case !c.repeatable(m) || m.attempts >= m.most:
 		c.final(m)
 	default:
-		c.queue(m)
-	}
-}
-
-// queue lets a message wait for its next try.
-func (c *Chooser) queue(m *message) {
-	d := m.dest
-	if d.waiting = append(d.waiting, m); !d.live {
-		d.live, c.live = true, append(c.live, d)
+		c.wait(m)
 	}
 }
 
@@ -117,6 +102,15 @@
 	return m.ranAt + m.class.Window
 }
 
+// until is when a message that waits gets its final answer.
+func (c *Chooser) until(m *message) time.Duration {
+	if at := m.due - c.LastLook(); !m.ran || m.class.Effect != Keyed {
+		return at
+	} else {
+		return min(at, c.windowEnd(m))
+	}
+}
+
 // final answers a message that is not out: refused where that is lawful, else failed.
 func (c *Chooser) final(m *message) {
 	if !m.ran || m.class.Effect == Safe || m.class.Effect == Keyed && !m.class.SameZone {
@@ -132,41 +126,34 @@
 	if !m.over {
 		m.over = true
 		c.held--
-		if m.call == nil {
-			m.dest.waiting = remove(m.dest.waiting, m)
-		}
+		c.unwait(m)
 	}
 	if m.call != nil {
 		return
 	}
 	delete(c.msgs, m.ID)
 	if l := c.lines[m.Key]; l != nil && m.class.Ordered {
-		l.queue = remove(l.queue, m)
+		l.queue.drop(m)
 		if m.unsure >= 0 {
 			l.rest = max(l.rest, m.unsure+c.set.Rules.OrderSettle)
 		}
-		if len(l.queue) == 0 {
-			c.resting = append(c.resting, l)
+		if l.queue.n == 0 {
+			c.resting.put(l)
 		}
 	}
 }
 
 // answer ends messages whose time is up, and the least worth while the holding room is crowded.
 func (c *Chooser) answer() {
-	for _, d := range c.live {
-		for i := len(d.waiting) - 1; i >= 0; i-- {
-			m := d.waiting[i]
-			if m.due-c.now <= c.LastLook() || !c.repeatable(m) {
-				c.final(m)
-			}
-		}
+	for _, m := range c.ended() {
+		c.final(m)
 	}
 	for c.set.MaxHeld > 0 && float64(c.held) > crowded*float64(c.set.MaxHeld) {
 		var worst *message
 		least := math.Inf(1)
-		for _, d := range c.live {
-			for _, m := range d.waiting {
-				w := c.worth(m, c.now) / float64(len(d.waiting))
+		for d := range c.live.each {
+			for m := range d.waiting.each {
+				w := c.worth(m, c.now) / float64(d.waiting.n)
 				// What a restart finds untried was taken on for good: what comes is turned away instead.
 				untried := m.restored && m.attempts == 0
 				if w < least && !untried && (!m.ran || m.class.Effect == Safe) {
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -39,45 +39,18 @@
 func (c *Chooser) Step(now time.Duration, events []Event) []Action {
 	c.now, c.acts = now, nil
 	for _, e := range events {
-		switch e := e.(type) {
-		case Arrival:
-			c.arrive(e)
-		case Restored:
-			c.restore(e)
-		case Unwell:
-			c.unwell(e)
-		case ByHand:
-			c.byHand(e)
-		case Waits:
-			if h := c.hosts[e.Host]; h != nil {
-				h.unit.waitUntil = max(h.unit.waitUntil, now+e.Left)
-			}
-		case Memory:
-			c.remember(e)
-		case Reconfigured:
-			c.reconfigure(e.Settings)
-		case Result:
-			c.result(e)
-		case Withdrawn:
-			if m := c.msgs[e.ID]; m != nil && !m.over {
-				c.end(m)
-			}
-		case Listing:
-			c.list(e)
-		}
+		c.take(e)
 	}
 	if c.askAt >= 0 && now >= c.askAt {
 		c.askAt = -1
 		c.act(Subscribe{})
 	}
 	c.freeLines()
-	c.live = slices.DeleteFunc(c.live, func(d *dest) bool {
-		d.live = len(d.waiting) > 0 || d.out > 0
-		return !d.live
-	})
+	c.settle()
 	c.watch()
 	c.answer()
 	c.turn()
+	c.close()
 	at := now + c.nap
 	if (c.held+c.busy > 0 || c.askAt >= 0) && (c.wakeAt <= now || at < c.wakeAt) {
 		c.wakeAt = at
@@ -93,8 +66,10 @@
 		return
 	}
 	if e.Whole {
+		c.touchAll()
 		for _, h := range c.hosts {
 			h.State = Gone
+			c.check(h.dest)
 		}
 	}
 	for _, n := range e.Hosts {
@@ -105,6 +80,8 @@
 		if h == nil {
 			h = c.host(n)
 		}
+		c.touch(h.dest)
+		c.check(h.dest)
 		if n.Kind >= 0 && n.Kind < len(c.set.Kinds) {
 			h.dest.kind.PerCall = c.set.Kinds[n.Kind].PerCall // it may have changed
 		}
@@ -121,7 +98,8 @@
 			}
 		}
 	}
-	for _, d := range c.order {
+	c.checks(func(d *dest) bool {
+		c.touch(d)
 		d.hosts = slices.DeleteFunc(d.hosts, func(h *host) bool {
 			// A host that may come back keeps its wait, and what is known of its health.
 			left := h.State == Gone && h.out == 0 && c.now >= h.unit.waitUntil &&
@@ -137,12 +115,11 @@
 		for _, u := range d.units {
 			c.rename(u, d)
 		}
-	}
-	c.order = slices.DeleteFunc(c.order, func(d *dest) bool {
-		idle := len(d.hosts) == 0 && len(d.waiting) == 0 && d.out == 0
-		if idle {
+		if len(d.hosts) == 0 && d.idle() {
 			delete(c.dests, d.id)
+			c.order.drop(d)
 		}
-		return idle
+		gone := func(h *host) bool { return h.State == Gone }
+		return slices.ContainsFunc(d.hosts, gone) || len(d.hosts) > 0 && slices.ContainsFunc(d.units, c.misnamed)
 	})
 }
--- /dev/null
+++ b/choice/due_scale_test.go
@@ -0,0 +1,148 @@
+package choice
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// What decisions cost by what is held and listed. Destinations from 0 on are down and hold messages, the others take them.
+
+// served are the destinations that take messages in these benchmarks.
+const serving = 14
+
+// sized is a flow with so many destinations listed, of two endpoints each, beyond the first of which `serving` are up.
+// Each of those that are down holds so many messages, with far more time than a benchmark takes.
+func sized(tb testing.TB, down, held, listed int, how string) *flow {
+	tb.Helper()
+	s := settings()
+	s.Fleet, s.Workers, s.MaxHeld, s.ReportLeft, s.ReportLimit = 300, 8, 2*down*held+200000, 0, 1
+	s.Classes[1].Deadline = 1000 * time.Hour
+	c, err := New(s, 1)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	f := &flow{c: c, now: time.Hour}
+	hosts := make([]Host, 0, 2*(down+serving+listed))
+	var said []Event
+	for d := range down + serving + listed {
+		for i := range 2 {
+			h := ready(fmt.Sprint("e", d, "-", i), d, 0, i)
+			h.Rate = 1e6
+			if d < down && how == "draining" {
+				h.State = Draining
+			}
+			if d < down && how == "slow" {
+				h.Rate = 20
+			}
+			hosts = append(hosts, h)
+		}
+		switch {
+		case d >= down:
+		case how == "told":
+			said = append(said, Waits{hosts[2*d].Addr, time.Hour})
+		case how == "suspect" || how == "slow":
+			said = append(said, Unwell{hosts[2*d].Addr, 1})
+		}
+	}
+	f.step(Listing{Whole: true, Hosts: hosts})
+	f.step(said...)
+	var come []Event
+	for d := range down {
+		for i := range held {
+			come = append(come, Arrival{ID: fmt.Sprint("held", d, "-", i), Class: 1, Dest: d, Left: s.Classes[1].Deadline, Tenant: -1})
+		}
+	}
+	f.step(come...)
+	return f
+}
+
+// one has a message come, go and be served, in three Steps, one of them a wake-up.
+func (f *flow) one(tb testing.TB, down int) {
+	f.n++
+	f.now += time.Microsecond // no trial falls due
+	id := fmt.Sprint("m", f.n)
+	f.step(Arrival{ID: id, Class: 0, Dest: down + f.n%serving, Left: 10 * time.Second, Tenant: -1})
+	if len(f.acts) == 0 {
+		tb.Fatalf("message %s was not sent", id)
+	}
+	sent, ok := f.acts[0].(Send)
+	if !ok || sent.ID != id {
+		tb.Fatalf("message %s was not sent: %v", id, f.acts)
+	}
+	f.step(Woken{})
+	f.step(Result{ID: id, Host: sent.Host, Outcome: Served, Took: 20 * ms, Done: true, Report: []float64{0.9, 1e6}})
+}
+
+// BenchmarkScaleHeld is what the decisions cost for a message, its arrival, a wake-up and its end, while others are held for
+// one destination that is down, or one each for as many. They drain, were told to wait or are in an outage between two
+// trials; "slow" is an outage of those whose pace is far from where it stands still.
+func BenchmarkScaleHeld(b *testing.B) {
+	for _, how := range []string{"draining", "told", "suspect", "slow"} {
+		for _, many := range []bool{false, true} {
+			for _, held := range []int{100, 1000, 10000, 100000} {
+				down, each, at := 1, held, "one"
+				if many {
+					down, each, at = held, 1, "many"
+				}
+				b.Run(fmt.Sprintf("%s/at=%s/held=%d", how, at, held), func(b *testing.B) {
+					f := sized(b, down, each, 0, how)
+					for range 200 {
+						f.one(b, down)
+					}
+					b.ReportAllocs()
+					for b.Loop() {
+						f.one(b, down)
+					}
+				})
+			}
+		}
+	}
+}
+
+// BenchmarkScaleChange is what one endpoint's change costs.
+func BenchmarkScaleChange(b *testing.B) {
+	for _, listed := range []int{1000, 10000, 100000, 380000} {
+		b.Run(fmt.Sprint("destinations=", listed), func(b *testing.B) {
+			f := sized(b, 0, 0, listed, "")
+			h := ready("changes", listed/2, 0, 0)
+			h.Rate = 1e6
+			b.ReportAllocs()
+			for b.Loop() {
+				h.State = Ready
+				f.step(Listing{Hosts: []Host{h}})
+				h.State = Gone
+				f.step(Listing{Hosts: []Host{h}})
+			}
+		})
+	}
+}
+
+// BenchmarkScaleTakeOn is what it costs to take messages on for one destination that is down, one in a Step, until so many
+// are held.
+func BenchmarkScaleTakeOn(b *testing.B) {
+	for _, held := range []int{100, 1000, 10000, 100000} {
+		b.Run(fmt.Sprint("messages=", held), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				f := sized(b, 1, 0, 0, "suspect")
+				for i := range held {
+					f.step(Arrival{ID: fmt.Sprint("m", i), Class: 1, Dest: 0, Left: time.Hour, Tenant: -1})
+				}
+			}
+		})
+	}
+}
+
+// Guards against a benchmark that no longer does what it is named for.
+func TestScaleOfDecisions(t *testing.T) {
+	for _, how := range []string{"draining", "told", "suspect", "slow"} {
+		f := sized(t, 3, 20, 5, how)
+		for range 50 {
+			f.one(t, 3)
+		}
+		if f.c.held != 60 {
+			t.Errorf("%s: %d held, want the 60 of those that are down", how, f.c.held)
+		}
+	}
+}
--- a/choice/due_test.go
+++ b/choice/due_test.go
@@ -1,6 +1,7 @@
 package choice
 
 import (
+	"slices"
 	"testing"
 	"time"
 )
@@ -40,6 +41,38 @@
 	}
 }
 
+// Guards against successors of outages that are told in the order of the news: it is that in which destinations were first
+// heard of, and a unit is renamed also when the endpoint it is named for has gone to another destination, and goes there.
+func TestOutagesAreRenamedInTheOrderOfTheirDestinations(t *testing.T) {
+	in := func(addr string, dest int, s State) Host {
+		h := ready(addr, dest, 0, 0)
+		h.State = s
+		return h
+	}
+	r := newRig(t, settings(), in("a1", 1, Ready), in("a2", 1, Draining), in("b1", 2, Ready))
+	r.step(Unwell{"a1", 1}, Unwell{"b1", 1})
+	named := func(acts []Action) (out []string) {
+		for _, a := range acts {
+			if h, ok := a.(Health); ok && h.Unwell {
+				out = append(out, h.Host)
+			}
+		}
+		return out
+	}
+	acts := r.step(Listing{Hosts: []Host{in("b2", 2, Ready), in("b1", 2, Gone), in("a3", 1, Ready), in("a1", 1, Gone)}})
+	if got := named(acts); !slices.Equal(got, []string{"a3", "b2"}) {
+		t.Errorf("outages go on under %v, want a3 and b2", got)
+	}
+	r.step(Listing{Hosts: []Host{in("a3", 1, Gone)}})
+	r.now += 30 * time.Second
+	r.step(Listing{}) // a3 is no longer remembered
+	r.step(Listing{Hosts: []Host{in("a3", 3, Ready)}})
+	r.step(Listing{Hosts: []Host{in("a2", 1, Ready)}})
+	if got := named(r.step(Listing{Hosts: []Host{in("a3", 3, Gone)}})); !slices.Equal(got, []string{"a2"}) {
+		t.Errorf("an outage goes on under %v, want a2", got)
+	}
+}
+
 // finals are the final answers among actions.
 func finals(acts []Action) (out []Action) {
 	for _, a := range acts {
--- a/choice/fleet.go
+++ b/choice/fleet.go
@@ -105,7 +105,7 @@
 // it is of the same window for all, most of them from its start.
 func (c *Chooser) heed(u *unit, d *dest, left float64) {
 	over := min(left, 1) - keep
-	if left >= 0 && c.metered(u) && !u.many && (over < 0 || len(d.waiting) > 0) {
+	if left >= 0 && c.metered(u) && !u.many && (over < 0 || d.waiting.n > 0) {
 		u.limit = max(u.limit*(1+gain*over), 1/c.even(u).Seconds()/2)
 	}
 }
--- a/choice/hand.go
+++ b/choice/hand.go
@@ -10,6 +10,9 @@
 // byHand takes operators at their word. They restart what they take out, so it comes back cold.
 func (c *Chooser) byHand(e ByHand) {
 	h := c.hosts[e.Host]
+	if h != nil {
+		c.touch(h.dest)
+	}
 	switch {
 	case e.Out:
 		c.out[e.Host] = true
--- a/choice/health.go
+++ b/choice/health.go
@@ -61,6 +61,7 @@
 	if u.state == healthy {
 		u.base = max(u.served, 1/c.set.Rules.Cold.Seconds())
 	}
+	c.touch(d)
 	c.log("destination %d unit %s suspect: %s", d.id, u.name, why)
 	u.state, u.since, u.trials, u.streak = suspect, c.now, 0, 0
 	u.trialAt = c.now + c.gap(u)
@@ -146,7 +147,7 @@
 // watch makes units suspect that leave calls unanswered: a guard against any silence, before a
 // time-out tells. It holds as well against calls that unsafe messages leave out for long.
 func (c *Chooser) watch() {
-	for _, d := range c.live {
+	for d := range c.callers {
 		for _, u := range d.units {
 			if u.state == healthy && len(u.outs) > 0 {
 				quiet := c.now - max(u.outs[0].sent, u.lastServed)
@@ -175,10 +176,10 @@
 	return u.limit == 0 || u.tokens >= 1
 }
 
-// refill brings pace and tokens up to date.
-func (c *Chooser) refill(u *unit) {
-	dt := (c.now - u.limitAt).Seconds()
-	u.limitAt = c.now
+// refill brings pace and tokens up to a time.
+func (c *Chooser) refill(u *unit, now time.Duration) {
+	dt := (now - u.limitAt).Seconds()
+	u.limitAt = now
 	if u.listed > 0 {
 		u.limit = min(u.limit*(1+grow*min(dt, 1)), c.most(u))
 	} else {
--- a/choice/known.go
+++ b/choice/known.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -13,7 +14,7 @@
 	if err := s.Check(); err != nil {
 		return nil, fmt.Errorf("choice: settings: %w", err)
 	}
-	c := &Chooser{set: s, msgs: map[string]*message{}, dests: map[int]*dest{},
+	c := &Chooser{index: newIndex(), set: s, msgs: map[string]*message{}, dests: map[int]*dest{},
 		hosts: map[string]*host{}, lines: map[string]*line{},
 		out: map[string]bool{}, cold: map[string]time.Duration{},
 		rand: rand.New(rand.NewPCG(seed, 0)), pool: table{weight: 1}}
@@ -50,10 +51,12 @@
 func (c *Chooser) dest(id int) *dest {
 	d := c.dests[id]
 	if d == nil {
-		d = &dest{id: id, kind: Kind{PerCall: 1}, luck: &c.luck[0]}
+		c.known++
+		d = &dest{id: id, kind: Kind{PerCall: 1}, luck: &c.luck[0], number: c.known,
+			waiting: chain[message]{of: func(m *message) *links[message] { return &m.inWaiting }}}
 		d.table = table{width: c.bound / buckets, weight: 1}
 		c.dests[id] = d
-		c.order = append(c.order, d)
+		c.order.add(d)
 	}
 	return d
 }
@@ -61,6 +64,7 @@
 // host returns what is known of an endpoint, from the first time that one is heard of.
 func (c *Chooser) host(n Host) *host {
 	d := c.dest(n.Dest)
+	c.touch(d)
 	h := &host{dest: d, liking: c.rand.Float64()}
 	c.hosts[n.Addr], d.hosts = h, append(d.hosts, h)
 	if n.Kind >= 0 && n.Kind < len(c.set.Kinds) {
@@ -73,3 +77,50 @@
 	h.unit = d.units[len(d.units)-1]
 	return h
 }
+
+// take has an event go to the part that it is for.
+func (c *Chooser) take(e Event) {
+	switch e := e.(type) {
+	case Arrival:
+		c.arrive(e)
+	case Restored:
+		c.restore(e)
+	case Unwell:
+		c.unwell(e)
+	case ByHand:
+		c.byHand(e)
+	case Waits:
+		if h := c.hosts[e.Host]; h != nil {
+			h.unit.waitUntil = max(h.unit.waitUntil, c.now+e.Left)
+		}
+	case Memory:
+		c.remember(e)
+	case Reconfigured:
+		c.reconfigure(e.Settings)
+	case Result:
+		c.result(e)
+	case Withdrawn:
+		if m := c.msgs[e.ID]; m != nil && !m.over {
+			c.end(m)
+		}
+	case Listing:
+		c.list(e)
+	}
+}
+
+// rename has an outage remembered under an endpoint that is still listed. A restarted relay knows only
+// those, and a destination may have all of its endpoints replaced while it is out or cold.
+func (c *Chooser) rename(u *unit, d *dest) {
+	if h := c.hosts[u.name]; h != nil && h.State != Gone {
+		return
+	}
+	i := slices.IndexFunc(d.hosts, func(h *host) bool { return h.unit == u && h.State == Ready })
+	if i < 0 {
+		return
+	}
+	old := u.name
+	if u.name = d.hosts[i].Addr; u.state != healthy {
+		c.act(Health{u.name, true, u.base})
+		c.act(Health{old, false, 0})
+	}
+}
--- a/choice/memory.go
+++ b/choice/memory.go
@@ -20,15 +20,18 @@
 func (c *Chooser) adopt(m *message, r *Running) {
 	h := c.hosts[r.Host]
 	u, d := h.unit, m.dest
+	c.touch(d)
+	c.touch(h.dest)
 	i := slices.IndexFunc(u.outs, func(k *call) bool { return k.adopted == r.Call })
 	if i < 0 {
 		i = len(u.outs)
 		u.outs = append(u.outs, &call{host: h, sent: c.now - r.Ago, adopted: r.Call})
 		c.busy, d.out, h.out = c.busy+1, d.out+1, h.out+1
+		c.calls(h.dest, 1)
 	}
 	m.call = u.outs[i]
 	m.call.members = append(m.call.members, m)
-	d.waiting = remove(d.waiting, m)
+	c.unwait(m)
 	slices.SortStableFunc(u.outs, func(a, b *call) int { return cmp.Compare(a.sent, b.sent) })
 }
 
@@ -108,7 +111,8 @@
 	for _, s := range c.shares {
 		m.Shares = append(m.Shares, s.left)
 	}
-	for _, d := range c.order {
+	c.touchAll() // or paces are of an earlier time
+	for d := range c.order.each {
 		m.Dests = append(m.Dests, DestMemory{d.id, d.refused, d.backoff, d.pauseUntil - now, d.table.memory()})
 		for _, u := range d.units {
 			m.Units = append(m.Units, UnitMemory{Host: u.name, State: int(u.state), Since: now - u.since, Wait: u.waitUntil - now,
@@ -124,6 +128,7 @@
 }
 
 func (c *Chooser) remember(m Memory) {
+	c.touchAll()
 	c.pool.remember(m.Pool, c.bound/buckets)
 	copy(c.luck, m.Luck)
 	for i, left := range m.Shares {
--- a/choice/oracle.go
+++ b/choice/oracle.go
@@ -94,7 +94,7 @@
 	switch {
 	case u.state == suspect:
 		t = c.patience(d) << min(u.trials, 4)
-	case t > 0 && len(d.waiting) > 1:
+	case t > 0 && d.waiting.n > 1:
 		// With a message waiting here a restart takes its place, and feeds an overload:
 		// only calls that are very likely lost are given up.
 		t = max(t, c.patience(d))
--- a/choice/pick.go
+++ b/choice/pick.go
@@ -32,12 +32,12 @@
 	}
 	wait := c.minAim
 	if rate > 0 {
-		wait = time.Duration(float64(len(d.waiting)) / rate * float64(time.Second))
+		wait = time.Duration(float64(d.waiting.n) / rate * float64(time.Second))
 	}
 	wait = min(max(wait, c.minAim/8), 4*c.bound)
 	var best *message
 	most := math.Inf(-1)
-	for _, m := range d.waiting {
+	for m := d.waiting.first; m != nil; m = m.inWaiting.next {
 		if !c.hasTurn(m) || !test(m) {
 			continue
 		}
@@ -63,6 +63,9 @@
 			open = append(open, h)
 		}
 	}
+	if len(open) == 0 {
+		return nil, nil
+	}
 	m := c.best(d, func(m *message) bool {
 		return slices.ContainsFunc(open, func(h *host) bool { return c.fits(m, h) })
 	})
@@ -103,14 +106,5 @@
 		return true
 	}
 	l := c.lines[m.Key]
-	return l.queue[0] == m && c.now >= l.rest
-}
-
-func (c *Chooser) freeLines() {
-	c.resting = slices.DeleteFunc(c.resting, func(l *line) bool {
-		if len(l.queue) == 0 && c.now >= l.rest {
-			delete(c.lines, l.key)
-		}
-		return len(l.queue) > 0 || c.now >= l.rest
-	})
+	return l.queue.first == m && c.now >= l.rest
 }
--- a/choice/restore.go
+++ b/choice/restore.go
@@ -1,9 +1,6 @@
 package choice
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 // restore takes a message up where the earlier process left it. Its effect and
 // its attempts bind as if no restart had been; what may not go again is answered now.
@@ -20,7 +17,9 @@
 	}
 	if m.attempts >= m.most || !c.repeatable(m) {
 		c.final(m)
+		return
 	}
+	c.retime(m)
 }
 
 // unwell guards a returning destination against a relay that forgot the outage by a restart.
@@ -34,23 +33,6 @@
 	c.suspect(h.unit, h.dest, "unwell before the restart")
 }
 
-// rename has an outage remembered under an endpoint that is still listed. A restarted relay knows only
-// those, and a destination may have all of its endpoints replaced while it is out or cold.
-func (c *Chooser) rename(u *unit, d *dest) {
-	if h := c.hosts[u.name]; h != nil && h.State != Gone {
-		return
-	}
-	i := slices.IndexFunc(d.hosts, func(h *host) bool { return h.unit == u && h.State == Ready })
-	if i < 0 {
-		return
-	}
-	old := u.name
-	if u.name = d.hosts[i].Addr; u.state != healthy {
-		c.act(Health{u.name, true, u.base})
-		c.act(Health{old, false, 0})
-	}
-}
-
 // comeBack is when a client had best hand a refused message in again: once a unit of its
 // destination may be sent to, and what waits there has gone.
 func (c *Chooser) comeBack(d *dest) time.Duration {
@@ -67,7 +49,7 @@
 	}
 	after := max(open, c.minAim/4)
 	if rate > 0 {
-		after = max(after, min(c.minAim, time.Duration(float64(len(d.waiting))/rate*float64(time.Second))))
+		after = max(after, min(c.minAim, time.Duration(float64(d.waiting.n)/rate*float64(time.Second))))
 	}
 	return min(after, c.bound)
 }
--- a/choice/rules.go
+++ b/choice/rules.go
@@ -13,7 +13,11 @@
 		c.log("settings not taken: %v", err)
 		return
 	}
+	c.touchAll()
 	c.apply(s)
+	for _, m := range slices.Clone(c.ends.all) {
+		c.retime(m)
+	}
 	c.log("settings taken: %d classes, %d attempts", len(s.Classes), s.MaxAttempts)
 }
 
@@ -32,7 +36,7 @@
 	}
 	c.nap = max(s.Tick, c.minAim/glance)
 	c.pool.spread(c.bound / buckets)
-	for _, d := range c.order {
+	for d := range c.order.each {
 		d.table.spread(c.bound / buckets)
 	}
 	for len(c.luck) < max(1, len(s.Kinds)) {
--- a/choice/soak_test.go
+++ b/choice/soak_test.go
@@ -133,7 +133,7 @@
 		t.Fatalf("%d messages, %d of them without an end", messages, len(open))
 	}
 	sends := 0
-	for _, d := range c.order {
+	for d := range c.order.each {
 		for _, u := range d.units {
 			sends += len(u.sends)
 		}
@@ -141,9 +141,9 @@
 	for what, n := range map[string]struct{ held, most int }{
 		"messages":       {len(c.msgs) + c.held + c.busy, 0},
 		"endpoints":      {len(c.hosts), kept},
-		"destinations":   {len(c.dests) + len(c.order), 2 * (kept/4 + 1)},
-		"live":           {len(c.live), 0},
-		"keys":           {len(c.lines) + len(c.resting), 0},
+		"destinations":   {len(c.dests) + c.order.n, 2 * (kept/4 + 1)},
+		"live":           {c.live.n + len(c.active) + len(c.parked.all) + len(c.calling) + len(c.ends.all), 0},
+		"keys":           {len(c.lines) + len(c.resting.all), 0},
 		"given back":     {len(c.cold), 2},
 		"taken out":      {len(c.out), 0},
 		"remembered":     {len(c.Memory(now).Units), kept},
--- a/choice/state.go
+++ b/choice/state.go
@@ -28,6 +28,11 @@
 	over     bool          // answered or withdrawn
 	past     bool          // its tenant's share was used up
 	restored bool          // an earlier process took it on
+	// As it waits: its place among those of its destination and, while it is open, of its key; when it was
+	// queued, as a number; the time of its final answer, and its place by that.
+	inWaiting, inLine links[message]
+	queued, place     int
+	until             time.Duration
 }
 
 // call is one call out; sends of one turn to one host may share it.
@@ -99,49 +104,53 @@
 	kind       Kind
 	hosts      []*host
 	units      []*unit
-	waiting    []*message
+	waiting    chain[message]
 	out        int
-	live       bool // on the list of those with messages waiting or out
 	lastTurn   time.Duration
 	table      table
 	refused    int      // refusals in a row
 	luck       *float64 // of its kind
 	pauseUntil time.Duration
 	backoff    int // time-outs in a row with nothing served since
+	// See index: when it was first heard of and came to have messages, as numbers; calls out at its units;
+	// the turn up to which its paces are brought up to date; endpoints avoided.
+	number, life, calls, seen, excluded, look, place int
+	until                                            time.Duration // while parked
+	inOrder, inLive                                  links[dest]
+	touched, checked                                 bool
 }
 
 // line is the order of one key.
 type line struct {
 	key   string
-	queue []*message
+	queue chain[message]
 	rest  time.Duration
+	place int
 }
 
 // Chooser decides for one relay. It is not safe for concurrent use.
 type Chooser struct {
-	set     Settings
-	now     time.Duration
-	bound   time.Duration // maximal timeout of the oracle
-	minAim  time.Duration
-	msgs    map[string]*message
-	dests   map[int]*dest
-	order   []*dest // as first heard of
-	live    []*dest // with messages waiting or out
-	hosts   map[string]*host
-	lines   map[string]*line
-	resting []*line
-	busy    int
-	held    int
-	wakeAt  time.Duration // the next wake-up asked for
-	rand    *rand.Rand
-	nap     time.Duration // between looks
-	luck    []float64     // by kind: share served of the calls to destinations that refused the last one
-	pool    table         // of all destinations together, for those that have few samples yet
-	askAt   time.Duration // ask for list changes then; below 0 for never
-	acts    []Action
-	shares  []share                  // by tenant
-	out     map[string]bool          // endpoints that operators took out
-	cold    map[string]time.Duration // when operators gave an endpoint back
+	index
+	set    Settings
+	now    time.Duration
+	bound  time.Duration // maximal timeout of the oracle
+	minAim time.Duration
+	msgs   map[string]*message
+	dests  map[int]*dest
+	hosts  map[string]*host
+	lines  map[string]*line
+	busy   int
+	held   int
+	wakeAt time.Duration // the next wake-up asked for
+	rand   *rand.Rand
+	nap    time.Duration // between looks
+	luck   []float64     // by kind: share served of the calls to destinations that refused the last one
+	pool   table         // of all destinations together, for those that have few samples yet
+	askAt  time.Duration // ask for list changes then; below 0 for never
+	acts   []Action
+	shares []share                  // by tenant
+	out    map[string]bool          // endpoints that operators took out
+	cold   map[string]time.Duration // when operators gave an endpoint back
 }
 
 // note remembers whether the last outcome was a failure.
@@ -190,19 +199,6 @@
 	}
 }
 
-// Excluded counts the endpoints on the list that get no messages, by hand or by choice; those that
-// get single trials are among them. It looks at all endpoints; the count changes only by a Step with news
-// of the list, of operators or of an earlier process, or by one that returns Health or Log.
-func (c *Chooser) Excluded() int {
-	n := 0
-	for _, h := range c.hosts {
-		if h.State != Gone && (c.out[h.Addr] || h.unit.state == suspect) {
-			n++
-		}
-	}
-	return n
-}
-
 // remove deletes one element.
 func remove[T comparable](all []T, one T) []T {
 	return slices.DeleteFunc(all, func(o T) bool { return o == one })
--- a/choice/turn.go
+++ b/choice/turn.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -21,17 +22,28 @@
 		return 1
 	}
 	var ready []*dest
-	for _, d := range c.live {
-		if len(d.waiting) == 0 || c.now < d.pauseUntil {
-			continue
+	c.look(func(d *dest) time.Duration {
+		if c.now < d.pauseUntil {
+			return d.pauseUntil
 		}
 		for _, u := range d.units {
-			c.refill(u)
+			c.refill(u, c.now)
+		}
+		if !slices.ContainsFunc(d.units, c.room) {
+			at := time.Duration(math.MaxInt64)
+			for _, u := range d.units {
+				at = min(at, c.from(u))
+			}
+			return at
 		}
-		if slices.ContainsFunc(d.units, c.room) {
-			ready = append(ready, d)
+		// One with no endpoint open takes nothing, and no room from others: it is the first to be found so,
+		// unless its trials have it go last.
+		if d.out == 0 && trial(d) == 0 && !slices.ContainsFunc(d.hosts, c.open) {
+			return math.MaxInt64
 		}
-	}
+		ready = append(ready, d)
+		return c.now
+	})
 	for c.busy < c.set.Workers && len(ready) > 0 {
 		d := slices.MinFunc(ready, func(a, b *dest) int {
 			return cmp.Or(cmp.Compare(trial(a), trial(b)), cmp.Compare(a.out, b.out),
@@ -45,6 +57,7 @@
 			ready = remove(ready, d)
 		}
 	}
+	slices.SortFunc(ready, byLive)
 	waits := func(d *dest) bool { m, _ := c.pick(d); return m != nil }
 	if c.set.Cancels && slices.ContainsFunc(ready, waits) {
 		c.callOff()
@@ -58,7 +71,7 @@
 // taken halves the patience.
 func (c *Chooser) callOff() {
 	var stuck []*call
-	for _, d := range c.live {
+	for d := range c.callers {
 		for _, u := range d.units {
 			for _, k := range u.outs {
 				if k.off {
@@ -101,6 +114,7 @@
 	u := h.unit
 	k := &call{host: h, sent: c.now}
 	c.busy, d.out, h.out, d.lastTurn = c.busy+1, d.out+1, h.out+1, c.now
+	c.calls(d, 1)
 	old := func(t time.Duration) bool { return c.now-t > max(c.set.Rules.Cold, time.Second) }
 	u.outs, u.sends = append(u.outs, k), append(slices.DeleteFunc(u.sends, old), c.now)
 	weight := 1
@@ -127,9 +141,8 @@
 }
 
 func (c *Chooser) send(m *message, k *call) {
-	d := m.dest
 	m.timeout = c.timeout(m, k.host.unit)
-	d.waiting = remove(d.waiting, m)
+	c.unwait(m)
 	m.attempts++
 	m.call = k
 	k.members = append(k.members, m)
