relay: the count of avoided endpoints is asked for, not kept

Need: counting looked at every endpoint, so the loop remembered when the count might have changed.

The relay's tests of excluded endpoints and of the second address pass.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -58,18 +58,14 @@
 	endpoints
 	agreement
 	succession
-	chooser *choice.Chooser
-	events  []choice.Event
-	fresh   []*message
-	wake    *time.Timer
-	wakeAt  time.Duration
-	woken   bool
-	out     int  // calls
-	stopped bool // no more decisions; outcomes are still recorded
-	// excluded is the count of endpoints avoided; recount says that it may have changed. Counting looks at
-	// every endpoint, and most turns of the loop change none.
-	excluded    int
-	recount     bool
+	chooser     *choice.Chooser
+	events      []choice.Event
+	fresh       []*message
+	wake        *time.Timer
+	wakeAt      time.Duration
+	woken       bool
+	out         int  // calls
+	stopped     bool // no more decisions; outcomes are still recorded
 	endPlatform context.CancelFunc
 }
 
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -123,10 +123,7 @@
 		}
 		r.step()
 		if r.heir == nil {
-			if r.recount {
-				r.excluded, r.recount = r.chooser.Excluded(), false
-			}
-			r.figures.hold(len(r.held), len(r.hosts), r.excluded)
+			r.figures.hold(len(r.held), len(r.hosts), r.chooser.Excluded())
 		}
 		var again <-chan struct{}
 		if len(r.events) > 0 { // the step left some; nothing else may come in for long
--- a/internal/relay/step.go
+++ b/internal/relay/step.go
@@ -35,7 +35,6 @@
 	}
 	events, now := r.events, r.now()
 	r.events = nil
-	r.recount = r.recount || slices.ContainsFunc(events, tellsOfHosts)
 	if r.woken {
 		r.woken, r.wakeAt = false, 0
 	}
@@ -55,10 +54,8 @@
 		case choice.Wake:
 			r.arm(now, a.After)
 		case choice.Health:
-			r.recount = true
 			r.record(journal.Record{Op: journal.OpHealth, ID: a.Host, Ran: a.Unwell, Base: a.Base, At: time.Now().UnixMilli()})
 		case choice.Log:
-			r.recount = true
 			slog.Info(a.Text)
 		}
 	}
@@ -87,15 +84,6 @@
 	r.dispatch(sends)
 }
 
-// tellsOfHosts tells whether an event may change which endpoints are avoided.
-func tellsOfHosts(e choice.Event) bool {
-	switch e.(type) {
-	case choice.Listing, choice.ByHand, choice.Unwell, choice.Memory, choice.Reconfigured:
-		return true
-	}
-	return false
-}
-
 // arm sets the timer for the earliest wake-up asked for. One that fell due, but whose tick
 // the loop has not read yet, no longer counts: the Chooser has asked anew, will not ask
 // again before that, and without the guard sleeps until something else comes in.
