choice: the next destination comes from a heap, and worth is looked at before what may go

Need: with many destinations ready each send looked at all of them, and the best message asked of each that waits whether it may go, most of which could not be the best.

--- a/choice/index.go
+++ b/choice/index.go
@@ -87,6 +87,14 @@
 	return x
 }
 
+// queueOf is a heap of what is there already; its elements learn no places.
+func queueOf[T any](all []T, before func(a, b T) bool) *sorted[T] {
+	none := 0
+	s := &sorted[T]{all: all, before: before, place: func(T) *int { return &none }}
+	heap.Init(s)
+	return s
+}
+
 // put takes an element in, or to its new place.
 func (s *sorted[T]) put(x T) {
 	if i := *s.place(x); i > 0 {
--- a/choice/pick.go
+++ b/choice/pick.go
@@ -38,17 +38,12 @@
 	var best *message
 	most := math.Inf(-1)
 	for m := d.waiting.first; m != nil; m = m.inWaiting.next {
-		if !c.hasTurn(m) || !test(m) {
+		if best != nil && m.past && !best.past {
 			continue
 		}
 		loss := c.worth(m, c.now) - c.worth(m, c.now+wait)
-		if best != nil && m.past != best.past {
-			if m.past {
-				continue
-			}
-			most = math.Inf(-1)
-		}
-		if best == nil || loss > most || loss == most && m.due < best.due {
+		less := best != nil && m.past == best.past && (loss < most || loss == most && m.due >= best.due)
+		if !less && c.hasTurn(m) && test(m) {
 			best, most = m, loss
 		}
 	}
--- a/choice/turn.go
+++ b/choice/turn.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"container/heap"
 	"math"
 	"slices"
 	"time"
@@ -44,19 +45,22 @@
 		ready = append(ready, d)
 		return c.now
 	})
-	for c.busy < c.set.Workers && len(ready) > 0 {
-		d := slices.MinFunc(ready, func(a, b *dest) int {
-			return cmp.Or(cmp.Compare(trial(a), trial(b)), cmp.Compare(a.out, b.out),
-				cmp.Compare(a.lastTurn, b.lastTurn), cmp.Compare(a.id, b.id))
-		})
-		top := most
-		if len(ready) > 1 {
+	first := queueOf(ready, func(a, b *dest) bool {
+		return cmp.Or(cmp.Compare(trial(a), trial(b)), cmp.Compare(a.out, b.out),
+			cmp.Compare(a.lastTurn, b.lastTurn), cmp.Compare(a.id, b.id)) < 0
+	})
+	for c.busy < c.set.Workers && first.Len() > 0 {
+		d, top := first.all[0], most
+		if first.Len() > 1 {
 			top = half
 		}
 		if d.out >= top || !c.sendOne(d) {
-			ready = remove(ready, d)
+			heap.Pop(first)
+		} else {
+			heap.Fix(first, 0)
 		}
 	}
+	ready = first.all
 	slices.SortFunc(ready, byLive)
 	waits := func(d *dest) bool { m, _ := c.pick(d); return m != nil }
 	if c.set.Cancels && slices.ContainsFunc(ready, waits) {
