choice: what cannot go is not asked again until it may

Need: where an endpoint is open but none of those that wait may go to it, as unsafe ones to a unit that is not proven, or the later ones of a key, each Step asked all of them again.

Change: a look that finds none notes up to which message it looked, at which endpoints, and the first time at which one of them may go; what comes later, and what happens to the destination or to a key, is looked at as it comes.

--- a/choice/answers.go
+++ b/choice/answers.go
@@ -133,7 +133,9 @@
 	}
 	delete(c.msgs, m.ID)
 	if l := c.lines[m.Key]; l != nil && m.class.Ordered {
-		l.queue.drop(m)
+		if l.queue.drop(m); l.queue.n > 0 {
+			l.queue.first.dest.blocked = 0 // it may be its turn
+		}
 		if m.unsure >= 0 {
 			l.rest = max(l.rest, m.unsure+c.set.Rules.OrderSettle)
 		}
--- a/choice/due_scale_test.go
+++ b/choice/due_scale_test.go
@@ -17,7 +17,11 @@
 	tb.Helper()
 	s := settings()
 	s.Fleet, s.Workers, s.MaxHeld, s.ReportLeft, s.ReportLimit = 300, 8, 2*down*held+200000, 0, 1
-	s.Classes[1].Deadline = 1000 * time.Hour
+	s.Classes[1].Deadline, s.Classes[2].Deadline = 1000*time.Hour, 1000*time.Hour
+	class := 1
+	if how == "unsafe" {
+		class = 2
+	}
 	c, err := New(s, 1)
 	if err != nil {
 		tb.Fatal(err)
@@ -41,7 +45,7 @@
 		case d >= down:
 		case how == "told":
 			said = append(said, Waits{hosts[2*d].Addr, time.Hour})
-		case how == "suspect" || how == "slow":
+		case how == "suspect" || how == "slow" || how == "unsafe":
 			said = append(said, Unwell{hosts[2*d].Addr, 1})
 		}
 	}
@@ -50,10 +54,12 @@
 	var come []Event
 	for d := range down {
 		for i := range held {
-			come = append(come, Arrival{ID: fmt.Sprint("held", d, "-", i), Class: 1, Dest: d, Left: s.Classes[1].Deadline, Tenant: -1})
+			come = append(come, Arrival{ID: fmt.Sprint("held", d, "-", i), Class: class, Dest: d, Left: s.Classes[1].Deadline, Tenant: -1})
 		}
 	}
-	f.step(come...)
+	if f.step(come...); how == "unsafe" { // trials fall due, and nothing may be tried
+		f.now += 30 * time.Second
+	}
 	return f
 }
 
@@ -76,9 +82,10 @@
 
 // BenchmarkScaleHeld is what the decisions cost for a message, its arrival, a wake-up and its end, while others are held for
 // one destination that is down, or one each for as many. They drain, were told to wait or are in an outage between two
-// trials; "slow" is an outage of those whose pace is far from where it stands still.
+// trials; "slow" is an outage of those whose pace is far from where it stands still, "unsafe" one whose trials are due, while
+// nothing that waits may be a trial.
 func BenchmarkScaleHeld(b *testing.B) {
-	for _, how := range []string{"draining", "told", "suspect", "slow"} {
+	for _, how := range []string{"draining", "told", "suspect", "slow", "unsafe"} {
 		for _, many := range []bool{false, true} {
 			for _, held := range []int{100, 1000, 10000, 100000} {
 				down, each, at := 1, held, "one"
@@ -100,6 +107,42 @@
 	}
 }
 
+// BenchmarkScaleQueue is what the decisions cost for a message to a destination that is up while so many others wait for it.
+func BenchmarkScaleQueue(b *testing.B) {
+	for _, held := range []int{100, 1000, 10000, 100000} {
+		b.Run(fmt.Sprint("held=", held), func(b *testing.B) {
+			f := sized(b, 1, held, 0, "up")
+			var out []Event
+			for b.Loop() {
+				f.n++
+				f.now += 10 * ms
+				f.step(append(out, Arrival{ID: fmt.Sprint("m", f.n), Class: 1, Dest: 0, Left: time.Hour, Tenant: -1})...)
+				out = out[:0]
+				for _, a := range f.acts {
+					if s, ok := a.(Send); ok {
+						out = append(out, Result{ID: s.ID, Host: s.Host, Outcome: Served, Took: 5 * ms, Done: true})
+					}
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkScaleCrowded is what a message costs that takes the place of another where the holding room is crowded.
+func BenchmarkScaleCrowded(b *testing.B) {
+	for _, held := range []int{100, 1000, 10000, 100000} {
+		b.Run(fmt.Sprint("held=", held), func(b *testing.B) {
+			f := sized(b, 1, held, 0, "told")
+			f.c.set.MaxHeld = held
+			for b.Loop() {
+				f.n++
+				f.now += time.Microsecond
+				f.step(Arrival{ID: fmt.Sprint("m", f.n), Class: 1, Dest: 0, Left: time.Hour, Tenant: -1})
+			}
+		})
+	}
+}
+
 // BenchmarkScaleChange is what one endpoint's change costs.
 func BenchmarkScaleChange(b *testing.B) {
 	for _, listed := range []int{1000, 10000, 100000, 380000} {
@@ -136,7 +179,7 @@
 
 // Guards against a benchmark that no longer does what it is named for.
 func TestScaleOfDecisions(t *testing.T) {
-	for _, how := range []string{"draining", "told", "suspect", "slow"} {
+	for _, how := range []string{"draining", "told", "suspect", "slow", "unsafe"} {
 		f := sized(t, 3, 20, 5, how)
 		for range 50 {
 			f.one(t, 3)
--- a/choice/parked.go
+++ b/choice/parked.go
@@ -24,6 +24,7 @@
 	if !d.touched {
 		d.touched, c.touched = true, append(c.touched, d)
 	}
+	d.blocked = 0
 	if d.look != parked {
 		return
 	}
@@ -61,6 +62,40 @@
 	d.seen = c.turns
 }
 
+// unblocked is the first of those that wait which may go to some endpoints for all that is known of earlier looks.
+func (c *Chooser) unblocked(d *dest, open []*host) *message {
+	if c.now >= d.blocked || !slices.Equal(open, d.blockedAt) {
+		d.blocked = 0
+		return d.waiting.first
+	}
+	var first *message
+	for m := d.waiting.last; m != nil && m.queued > d.blockedTo; m = m.inWaiting.prev {
+		first = m
+	}
+	return first
+}
+
+// block notes that none of those that wait may go to some endpoints now, and until when that holds for what fits and
+// hasTurn go by. What changes with events is noted by those.
+func (c *Chooser) block(d *dest, open []*host) {
+	if d.waiting.n == 0 {
+		return
+	}
+	m, until := c.unblocked(d, open), time.Duration(math.MaxInt64)
+	if d.blocked > 0 {
+		until = d.blocked
+	}
+	for ; m != nil; m = m.inWaiting.next {
+		if last := m.due - m.class.Deadline/4; m.class.Effect == Unsafe && last >= c.now {
+			until = min(until, last+1)
+		}
+		if l := c.lines[m.Key]; l != nil && m.class.Ordered && l.queue.first == m && l.rest > c.now {
+			until = min(until, l.rest)
+		}
+	}
+	d.blocked, d.blockedTo, d.blockedAt = until, d.waiting.last.queued, append(d.blockedAt[:0], open...)
+}
+
 // wakeUp makes those active whose time has come.
 func (c *Chooser) wakeUp() {
 	for len(c.parked.all) > 0 && c.parked.all[0].until <= c.now {
--- a/choice/pick.go
+++ b/choice/pick.go
@@ -24,8 +24,8 @@
 }
 
 // best is the message that loses most by waiting, among those that a test lets through; what is
-// past its tenant's share comes after all that is not.
-func (c *Chooser) best(d *dest, test func(*message) bool) *message {
+// past its tenant's share comes after all that is not. It looks at those from one on.
+func (c *Chooser) best(d *dest, from *message, test func(*message) bool) *message {
 	rate := 0.0
 	for _, u := range d.units {
 		rate += u.served
@@ -37,7 +37,7 @@
 	wait = min(max(wait, c.minAim/8), 4*c.bound)
 	var best *message
 	most := math.Inf(-1)
-	for m := d.waiting.first; m != nil; m = m.inWaiting.next {
+	for m := from; m != nil; m = m.inWaiting.next {
 		if best != nil && m.past && !best.past {
 			continue
 		}
@@ -61,9 +61,12 @@
 	if len(open) == 0 {
 		return nil, nil
 	}
-	m := c.best(d, func(m *message) bool {
+	m := c.best(d, c.unblocked(d, open), func(m *message) bool {
 		return slices.ContainsFunc(open, func(h *host) bool { return c.fits(m, h) })
 	})
+	if m == nil {
+		c.block(d, open)
+	}
 	var best *host
 	least := math.Inf(1)
 	for _, h := range open {
--- a/choice/state.go
+++ b/choice/state.go
@@ -116,8 +116,13 @@
 	// the turn up to which its paces are brought up to date; endpoints avoided.
 	number, life, calls, seen, excluded, look, place int
 	until                                            time.Duration // while parked
-	inOrder, inLive                                  links[dest]
-	touched, checked                                 bool
+	// blocked is a time before which none of those that wait, up to the one queued as blockedTo, may go to the
+	// endpoints of blockedAt, if nothing happens to the destination or to their keys.
+	blocked          time.Duration
+	blockedTo        int
+	blockedAt        []*host
+	inOrder, inLive  links[dest]
+	touched, checked bool
 }
 
 // line is the order of one key.
