--- a/internal/backlog/backlog.go
+++ b/internal/backlog/backlog.go
@@ -4,6 +4,8 @@
 // Nothing is synced: what write(2) has taken outlasts the process. A Store is not safe for concurrent use.
 package backlog
 
+import "time"
+
 // Message is one that waits.
 type Message struct {
 	ID    string
@@ -31,4 +33,7 @@
 	SegmentLeast, SegmentMost int64
 	// Files is how many may be open: 16.
 	Files int
+
+	now   func() time.Time
+	fault func(op, name string, bytes int) (int, error)
 }
--- a/internal/backlog/errors.go
+++ b/internal/backlog/errors.go
@@ -79,3 +79,15 @@
 	}
 	return "Look after the disk: messages lost get no answer, have their senders ask; ones in doubt are not sent twice where that could harm."
 }
+
+// TooLarge is a message that the format has no room for; it is not kept.
+type TooLarge struct{ Dest, ID, Order, Data int }
+
+func (t *TooLarge) Error() string {
+	return fmt.Sprintf("a message for destination %d is larger than the backlog's format: id of %d bytes, key of %d, data of %d", t.Dest, t.ID, t.Order, t.Data)
+}
+
+// Remedy is what an operator can do.
+func (t *TooLarge) Remedy() string {
+	return "Have its sender use an id and a key of less than 64 KiB and a body of less than 1 GiB."
+}
--- /dev/null
+++ b/internal/backlog/files.go
@@ -0,0 +1,152 @@
+package backlog
+
+import (
+	"errors"
+	"io"
+	"io/fs"
+	"os"
+	"path/filepath"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+)
+
+// folder is the files of a backlog, of which only a few are open.
+type folder struct {
+	dir  string
+	open *simplelru.LRU[string, *os.File]
+	// fault is asked before each change, how much of it may be done; then the error holds. For tests; nil for none.
+	fault func(op, name string, bytes int) (int, error)
+}
+
+func newFolder(dir string, files int, fault func(string, string, int) (int, error)) (*folder, error) {
+	open, err := simplelru.NewLRU(files, func(_ string, f *os.File) { f.Close() })
+	if err != nil {
+		return nil, err
+	}
+	return &folder{dir, open, fault}, nil
+}
+
+func (d *folder) failed(did, name string, err error) error {
+	return &Failure{did, filepath.Join(d.dir, name), err}
+}
+
+// allow is how much of a change may be done.
+func (d *folder) allow(op, name string, bytes int) (int, error) {
+	if d.fault == nil {
+		return bytes, nil
+	}
+	return d.fault(op, name, bytes)
+}
+
+// file is an open file; one that may only be read will fail to be written.
+func (d *folder) file(name string, flags int) (*os.File, error) {
+	if f, ok := d.open.Get(name); ok {
+		return f, nil
+	}
+	path := filepath.Join(d.dir, name)
+	f, err := os.OpenFile(path, os.O_RDWR|flags, 0o600)
+	if err != nil && flags == 0 && !errors.Is(err, fs.ErrNotExist) {
+		f, err = os.Open(path)
+	}
+	if err == nil {
+		d.open.Add(name, f)
+	}
+	return f, err
+}
+
+// write puts bytes at a place of a file; it makes the file if it is to be new.
+func (d *folder) write(name string, b []byte, off int64, fresh bool) error {
+	n, fault := d.allow("write", name, len(b))
+	if fault != nil && n == 0 {
+		return d.failed("cannot be written", name, fault)
+	}
+	flags := 0
+	if fresh {
+		flags = os.O_CREATE | os.O_TRUNC
+		d.open.Remove(name)
+	}
+	f, err := d.file(name, flags)
+	if err == nil {
+		_, err = f.WriteAt(b[:n], off)
+	}
+	if err = errors.Join(err, fault); err != nil {
+		return d.failed("cannot be written", name, err)
+	}
+	return nil
+}
+
+// read fills b as far as the file reaches.
+func (d *folder) read(name string, b []byte, off int64) (int, error) {
+	f, err := d.file(name, 0)
+	if err != nil {
+		return 0, d.failed("cannot be read", name, err)
+	}
+	n, err := f.ReadAt(b, off)
+	if err != nil && !errors.Is(err, io.EOF) {
+		return n, d.failed("cannot be read", name, err)
+	}
+	return n, nil
+}
+
+// whole is all of a file.
+func (d *folder) whole(name string) ([]byte, error) {
+	b, err := os.ReadFile(filepath.Join(d.dir, name))
+	if err != nil {
+		return nil, d.failed("cannot be read", name, err)
+	}
+	return b, nil
+}
+
+func (d *folder) truncate(name string, size int64) error {
+	_, err := d.allow("truncate", name, 0)
+	var f *os.File
+	if err == nil {
+		f, err = d.file(name, 0)
+	}
+	if err == nil {
+		err = f.Truncate(size)
+	}
+	if err != nil {
+		return d.failed("cannot be cut", name, err)
+	}
+	return nil
+}
+
+// remove deletes a file; one that is not there is no error.
+func (d *folder) remove(name string) error {
+	_, err := d.allow("remove", name, 0)
+	if err == nil {
+		d.open.Remove(name)
+		err = os.Remove(filepath.Join(d.dir, name))
+	}
+	if err != nil && !errors.Is(err, fs.ErrNotExist) {
+		return d.failed("cannot be deleted", name, err)
+	}
+	return nil
+}
+
+func (d *folder) rename(from, to string) error {
+	_, err := d.allow("rename", to, 0)
+	if err == nil {
+		d.open.Remove(from)
+		d.open.Remove(to)
+		err = os.Rename(filepath.Join(d.dir, from), filepath.Join(d.dir, to))
+	}
+	if err != nil {
+		return d.failed("cannot be put in place", to, err)
+	}
+	return nil
+}
+
+// replace writes a file whole, beside the old one until it is.
+func (d *folder) replace(name string, b []byte) error {
+	tmp := name + ".tmp"
+	err := d.write(tmp, b, 0, true)
+	if err == nil {
+		err = d.rename(tmp, name)
+	}
+	if err != nil {
+		return errors.Join(err, d.remove(tmp))
+	}
+	return nil
+}
--- a/internal/backlog/state/window.go
+++ b/internal/backlog/state/window.go
@@ -2,68 +2,60 @@
 
 import "time"
 
-// Window tells how many messages of a destination decisions may hold: a dynamic threshold as in switches with a shared buffer (Choudhury and Hahne, 1998).
-// What a destination may have follows what is free, so that many that are down leave room; one that is served has twice what it took in the last second.
-type Window struct {
-	Total Load // the most of all destinations together
-	Alpha float64
-	used  Load
-	dests map[int]*share
-}
-
 // Load is messages and their bytes.
 type Load struct{ N, Bytes int }
-type share struct {
-	in       Load
-	since    time.Duration
-	now, was Load // served in the present second and in the last
+
+func (l Load) plus(n, bytes int) Load { return Load{l.N + n, l.Bytes + bytes} }
+
+// Window tells how many messages of a destination the decisions may hold: the dynamic threshold of switches that share a
+// buffer (Choudhury and Hahne, 1998), of what is free, so that one that is down leaves room; and twice what was served in a second.
+// What is held is at most Total, one for each destination, and two seconds of what is served.
+type Window struct {
+	Total    Load    // of all destinations
+	Alpha    float64 // of what is free, for each
+	used     Load
+	in       map[int]Load
+	now, was map[int]Load // served in the present second and the last
+	second   time.Duration
 }
 
-// Room is how many more messages of a destination may come in. One that has none in may always have one.
+// Room is how many more messages of a destination may come in. The bytes of those that are in count; the next one's don't.
 func (w *Window) Room(dest int, now time.Duration) int {
-	free := max(0, w.Total.N-w.used.N)
-	if w.used.Bytes >= w.Total.Bytes {
-		free = 0
-	}
-	s := w.dests[dest]
-	if s == nil {
-		return max(1, int(w.Alpha*float64(free)))
-	}
-	s.turn(now)
-	served := 2 * max(s.was.N, s.now.N)
-	allowed := max(1, int(w.Alpha*float64(free)), min(served, s.in.N+free))
-	if s.in.N > 0 && float64(s.in.Bytes) >= max(w.Alpha*float64(w.Total.Bytes-w.used.Bytes), float64(2*max(s.was.Bytes, s.now.Bytes))) {
+	w.turn(now)
+	in, s := w.in[dest], Load{max(w.was[dest].N, w.now[dest].N), max(w.was[dest].Bytes, w.now[dest].Bytes)}
+	if in.N > 0 && in.Bytes >= max(int(w.Alpha*float64(w.Total.Bytes-w.used.Bytes)), 2*s.Bytes) {
 		return 0
 	}
-	return max(0, allowed-s.in.N)
+	return max(0, max(1, int(w.Alpha*float64(w.Total.N-w.used.N)), 2*s.N)-in.N)
 }
 
-// Enter and Leave tell of messages that come in and go.
-func (w *Window) Enter(dest, bytes int) {
-	if w.dests == nil {
-		w.dests = map[int]*share{}
-	}
-	s := w.dests[dest]
-	if s == nil {
-		s = &share{}
-		w.dests[dest] = s
+// Enter tells that a message came in.
+func (w *Window) Enter(dest, bytes int) { w.move(dest, 1, bytes) }
+
+// Leave tells that one went, and whether its destination took it.
+func (w *Window) Leave(dest, bytes int, served bool, now time.Duration) {
+	if w.move(dest, -1, -bytes); served {
+		w.turn(now)
+		w.now[dest] = w.now[dest].plus(1, bytes)
 	}
-	s.in, w.used = Load{s.in.N + 1, s.in.Bytes + bytes}, Load{w.used.N + 1, w.used.Bytes + bytes}
 }
-func (w *Window) Leave(dest, bytes int, served bool, now time.Duration) {
-	s := w.dests[dest]
-	s.in, w.used = Load{s.in.N - 1, s.in.Bytes - bytes}, Load{w.used.N - 1, w.used.Bytes - bytes}
-	if s.turn(now); served {
-		s.now = Load{s.now.N + 1, s.now.Bytes + bytes}
+
+func (w *Window) move(dest, n, bytes int) {
+	if w.in == nil {
+		w.in = map[int]Load{}
 	}
-	if s.in.N == 0 && s.was.N == 0 && s.now.N == 0 {
-		delete(w.dests, dest)
+	w.used, w.in[dest] = w.used.plus(n, bytes), w.in[dest].plus(n, bytes)
+	if w.in[dest].N == 0 {
+		delete(w.in, dest)
 	}
 }
-func (s *share) turn(now time.Duration) {
-	if n := (now - s.since) / time.Second; n == 1 {
-		s.was, s.now, s.since = s.now, Load{}, s.since+time.Second
-	} else if n > 1 {
-		s.was, s.now, s.since = Load{}, Load{}, s.since+n*time.Second
+
+// turn forgets what was served before the last second.
+func (w *Window) turn(now time.Duration) {
+	if second := now.Truncate(time.Second); w.now == nil || second > w.second {
+		if w.was = w.now; second > w.second+time.Second {
+			w.was = nil
+		}
+		w.now, w.second = map[int]Load{}, second
 	}
 }
--- a/internal/backlog/store.go
+++ b/internal/backlog/store.go
@@ -1,117 +1,156 @@
 package backlog
 
 import (
-	"cmp"
-	"iter"
-	"maps"
-	"slices"
+	"errors"
+	"time"
+
+	"larchrouter/internal/backlog/state"
 )
 
-// Store is a backlog; for now in memory, until the segments take its place.
+// Store is a backlog in a folder.
 type Store struct {
-	held map[int][]Held
-	last uint64
-	disk int64
+	d       *folder
+	st      *state.State
+	entries *entries
+	table   *table
+	runs    map[*state.Segment]run
+	salt    uint32 // of frames
+	saltAll []byte // of hashes
+	last    uint64 // highest place given
+	told    uint64 // highest place that the state knows of
+	hold    int    // calls of Out until a segment is written anew again, after one could not be
+	damage  []error
+	now     func() time.Time
 }
 
-// Open takes up what lies in a folder; it makes the folder if there is none.
-func Open(dir string, o Options) (*Store, error) {
-	return &Store{held: map[int][]Held{}, disk: o.Disk}, nil
+// part is what a call of Put adds to one segment.
+type part struct {
+	seg     *state.Segment
+	fresh   bool
+	entries []entry
+	index   []byte
+	data    []byte
 }
 
 // Put takes messages on, whole or not at all. They are written when it returns.
 func (s *Store) Put(ms ...Message) error {
-	for _, m := range ms {
-		s.last++
-		s.held[m.Dest] = append(s.held[m.Dest], Held{Message: m, Place: s.last})
-	}
-	return nil
+	return s.mending(func() error { return s.put(ms) })
 }
 
-// Next is the oldest that lie here for a destination, in order: at most n, and of so many bytes, but one if there is any.
-// They stay.
-func (s *Store) Next(dest, n, bytes int) (all []Held, err error) {
-	for _, h := range s.held[dest] {
-		if bytes -= len(h.Data); len(all) == n || bytes < 0 && len(all) > 0 {
-			break
-		}
-		all = append(all, h)
+func (s *Store) put(ms []Message) error {
+	parts, err := s.plan(ms)
+	if err != nil {
+		return err
 	}
-	return all, nil
-}
-
-// Due is what has to have ended by then, earliest first. They stay.
-func (s *Store) Due(before int64, n int) (all []Held, err error) {
-	for _, q := range s.held {
-		for _, h := range q {
-			if h.Due <= before {
-				all = append(all, h)
+	var need int64
+	for _, p := range parts {
+		need += state.Growth(p.seg, p.fresh, uint32(len(p.entries)), int64(len(p.data)))
+	}
+	if err := s.roomFor(need); err != nil {
+		return err
+	}
+	for _, p := range parts {
+		for i := range p.entries {
+			if err := s.table.add(p.seg.Dest, &p.entries[i]); err != nil {
+				return err
 			}
 		}
 	}
-	slices.SortFunc(all, func(a, b Held) int { return cmp.Or(cmp.Compare(a.Due, b.Due), cmp.Compare(a.Place, b.Place)) })
-	return all[:min(n, len(all))], nil
-}
-
-// NextDue is when the first has to have ended.
-func (s *Store) NextDue() (int64, bool) {
-	all, _ := s.Due(1<<62, 1)
-	if len(all) == 0 {
-		return 0, false
+	for i, p := range parts {
+		if err := s.add(p); err != nil {
+			for _, p := range parts[:i+1] {
+				err = errors.Join(err, s.undo(p))
+			}
+			return err
+		}
 	}
-	return all[0].Due, true
-}
-
-// Out has messages lie here no more; ones that don't are passed over. It is written when it returns.
-func (s *Store) Out(dest int, places ...uint64) error {
-	q := slices.DeleteFunc(s.held[dest], func(h Held) bool { return slices.Contains(places, h.Place) })
-	if s.held[dest] = q; len(q) == 0 {
-		delete(s.held, dest)
+	for _, p := range parts {
+		if p.fresh {
+			s.st.Begin(p.seg)
+		}
+		from := p.seg.Entries
+		for _, e := range p.entries {
+			s.st.Grow(p.seg, e.place, e.due, int64(e.len))
+			s.joins(p.seg, e.due)
+		}
+		if !p.fresh {
+			s.entries.added(p.seg, from, p.index)
+		}
 	}
+	s.told = s.last
 	return nil
 }
 
-// Find is a destination's message by its id.
-func (s *Store) Find(dest int, id string) (Held, bool, error) {
-	for _, h := range s.held[dest] {
-		if h.ID == id {
-			return h, true, nil
+// plan shares messages out to segments.
+func (s *Store) plan(ms []Message) ([]*part, error) {
+	var parts []*part
+	of := map[int]*part{}
+	for i := range ms {
+		m := &ms[i]
+		if err := m.check(); err != nil {
+			return nil, err
+		}
+		s.last++
+		p := of[m.Dest]
+		if p == nil || !s.st.Takes(p.seg, s.last, int64(len(p.data))) {
+			seg := (*state.Segment)(nil)
+			if p == nil {
+				seg = s.st.Tail(m.Dest, s.last, 0)
+			}
+			p = &part{seg: seg, fresh: seg == nil}
+			if p.fresh {
+				p.seg = &state.Segment{Dest: m.Dest, First: s.last, Last: s.last, Due: later}
+				p.index = appendHeader(nil, p.seg, s.saltAll)
+			}
+			of[m.Dest] = p
+			parts = append(parts, p)
+		}
+		e := entry{place: s.last, due: m.Due, id: hashOf(s.saltAll, 'i', m.Dest, m.ID), off: uint32(p.seg.Data) + uint32(len(p.data)),
+			len: uint32(m.frameLen()), mark: markLive}
+		if m.Order != "" {
+			e.key = hashOf(s.saltAll, 'k', 0, m.Order)
 		}
+		p.entries = append(p.entries, e)
+		p.index = appendEntry(p.index, &e)
+		p.data = appendFrame(p.data, m, s.last, s.salt)
 	}
-	return Held{}, false, nil
+	return parts, nil
 }
 
-// Key tells which destination has messages of an ordered class's key here.
-func (s *Store) Key(order string) (dest int, ok bool) {
-	for d, q := range s.held {
-		for _, h := range q {
-			if h.Order == order {
-				return d, true
-			}
+// roomFor tells whether the files may grow by so much.
+func (s *Store) roomFor(bytes int64) error {
+	if room := s.st.Room(); bytes > room {
+		wait := time.Second
+		if seg := s.st.Earliest(); seg != nil {
+			wait = min(max(wait, time.UnixMilli(seg.Due).Sub(s.now())), time.Minute)
 		}
+		return &Full{bytes, max(0, room), wait}
 	}
-	return 0, false
+	return nil
 }
 
-// Len is how many lie here.
-func (s *Store) Len() (n int) {
-	for _, q := range s.held {
-		n += len(q)
+// add writes a part: entries first, so that a frame without one is never a kill's work.
+func (s *Store) add(p *part) error {
+	at := int64(0)
+	if !p.fresh {
+		at = entryAt(p.seg.Entries)
 	}
-	return n
+	if err := s.d.write(indexName(p.seg), p.index, at, p.fresh); err != nil {
+		return err
+	}
+	return s.d.write(dataName(p.seg), p.data, p.seg.Data, p.fresh)
 }
 
-// LenOf is how many lie here for a destination.
-func (s *Store) LenOf(dest int) int { return len(s.held[dest]) }
-
-// Dests are those that something lies here for.
-func (s *Store) Dests() iter.Seq[int] { return maps.Keys(s.held) }
-
-// Bytes is what the files take of the budget.
-func (s *Store) Bytes() int64 { return 0 }
-
-// Damage is what was found unreadable since the last call.
-func (s *Store) Damage() []error { return nil }
+// undo takes a part back that may have been written; data first, for the same reason.
+func (s *Store) undo(p *part) error {
+	if p.fresh {
+		return errors.Join(s.d.remove(dataName(p.seg)), s.d.remove(indexName(p.seg)))
+	}
+	return errors.Join(s.d.truncate(dataName(p.seg), p.seg.Data), s.d.truncate(indexName(p.seg), entryAt(p.seg.Entries)))
+}
 
 // Close gives the files up.
-func (s *Store) Close() error { return nil }
+func (s *Store) Close() error {
+	s.d.open.Purge()
+	return nil
+}
