--- a/internal/backlog/entries.go
+++ b/internal/backlog/entries.go
@@ -77,21 +77,48 @@
 	return have, nil
 }
 
-// search finds the entry of a place.
+// search finds the entry of a place. Places rise, mostly evenly: so it looks where the place would be then, and halves what is left if it is not.
 func (e *entries) search(s *state.Segment, place uint64) (i uint32, have entry, ok bool, err error) {
-	at := sort.Search(int(s.Entries), func(i int) bool {
+	from, to := uint32(0), s.Entries
+	if to == 0 || place < s.First || place > s.Last {
+		return 0, have, false, nil
+	}
+	at := uint32(float64(place-s.First) / float64(s.Last-s.First+1) * float64(to))
+	for from < to {
+		first, last := max(from, at/pieceLen*pieceLen), min(to, (at/pieceLen+1)*pieceLen)
+		low, err := e.at(s, first)
+		if err != nil {
+			return 0, have, false, err
+		}
+		high, err := e.at(s, last-1)
 		if err != nil {
-			return true
+			return 0, have, false, err
+		}
+		switch {
+		case place < low.place:
+			to = first
+		case place > high.place:
+			from = last
+		default:
+			return e.within(s, first, last, place)
+		}
+		at = from + (to-from)/2
+	}
+	return 0, have, false, nil
+}
+
+// within finds a place among entries of one piece.
+func (e *entries) within(s *state.Segment, from, to uint32, place uint64) (i uint32, have entry, ok bool, err error) {
+	n := sort.Search(int(to-from), func(n int) bool {
+		if err == nil {
+			have, err = e.at(s, from+uint32(n))
 		}
-		var x entry
-		x, err = e.at(s, uint32(i))
-		return err == nil && x.place >= place
+		return err != nil || have.place >= place
 	})
-	if err != nil || at == int(s.Entries) {
-		return 0, entry{}, false, err
+	if i = from + uint32(n); err == nil && i < to {
+		have, err = e.at(s, i)
 	}
-	have, err = e.at(s, uint32(at))
-	return uint32(at), have, err == nil && have.place == place, err
+	return i, have, err == nil && i < to && have.place == place, err
 }
 
 // added notes entries that were written behind the last.
--- a/internal/backlog/take.go
+++ b/internal/backlog/take.go
@@ -96,7 +96,8 @@
 			seg.Due = min(seg.Due, x.due)
 		}
 	}
-	return lost, lost > 0 || seg.Live == 0 || seg.Data == size
+	// Of one that was being dropped the data goes first.
+	return lost, lost > 0 || seg.Data == size || seg.Live == 0 && size < seg.Data
 }
 
 // takeDamaged takes up what can be read of a segment, and writes that anew.
--- a/internal/backlog/version.go
+++ b/internal/backlog/version.go
@@ -59,10 +59,10 @@
 func damagedVersion(line string) bool {
 	own := string(versionText(make([]byte, saltLen)))
 	salt, sum := line, ""
-	if i := strings.LastIndexByte(strings.TrimSpace(line), ' '); i > 0 {
-		salt, sum = line[:i+1], strings.TrimSpace(line[i:])
+	if i := strings.LastIndexByte(line, ' '); i > 0 {
+		salt, sum = line[:i+1], line[i+1:]
 	}
-	whole := sum == fmt.Sprintf("%08x", crc32.Checksum([]byte(salt), castagnoli))
+	whole := sum == fmt.Sprintf("%08x\n", crc32.Checksum([]byte(salt), castagnoli))
 	return !whole && (len(line) == len(own) || strings.HasPrefix(versionLine, line) || strings.HasPrefix(line, versionLine))
 }
 
