backlog: tests of disks that fail, roll-back, budget, formats, many destinations, the table; fuzzing

A call that failed and could not be taken back left messages that came again at the next start (found by the test): the next Put has to take them back first.

--- a/internal/backlog/due.go
+++ b/internal/backlog/due.go
@@ -20,6 +20,7 @@
 
 // more is the next messages of a segment by time, after one; none before the first.
 func (s *Store) more(seg *state.Segment, after *entry) (r run, err error) {
+	s.scanned++
 	err = s.entries.all(seg, func(_ uint32, x entry) {
 		if after != nil && byTime(x, *after) <= 0 || len(r) == runLen && byTime(x, r[runLen-1]) >= 0 {
 			return
--- a/internal/backlog/folder_test.go
+++ b/internal/backlog/folder_test.go
@@ -1,8 +1,15 @@
 package backlog
 
 import (
+	"errors"
+	"fmt"
+	"hash/crc32"
 	"os"
 	"path/filepath"
+	"slices"
+	"strings"
+	"syscall"
+	"testing"
 )
 
 func tempDir(t fataler) string {
@@ -38,3 +45,266 @@
 	}
 	return filepath.Join(to, "d")
 }
+
+// filled is a store with a few messages for each of some destinations.
+func filled(t testing.TB, dir string, o Options, dests, each int) (*Store, model) {
+	s, m := mustOpen(t, dir, o), model{}
+	for i := range dests * each {
+		h := Message{ID: fmt.Sprint("m", i), Dest: i % dests, Due: int64(i), Data: make([]byte, 100)}
+		if err := s.Put(h); err != nil {
+			t.Fatal(err)
+		}
+		m[h.Dest] = append(m[h.Dest], Held{Message: h})
+	}
+	return s, m
+}
+
+// Guards against a disk that fails in any write of a call, is full or may not be written: nothing of it is kept, nothing else lost, and it goes on
+// once the disk does.
+func TestDiskThatFails(t *testing.T) {
+	for _, cause := range []error{syscall.ENOSPC, syscall.EROFS, syscall.EIO} {
+		for _, undo := range []bool{true, false} {
+			for at := 0; ; at++ {
+				n, on := 0, false
+				o := small(&killer{})
+				o.fault = func(op, _ string, bytes int) (int, error) {
+					if !on || op != "write" && undo {
+						return bytes, nil
+					}
+					if n++; n > at {
+						return bytes / 2, cause
+					}
+					return bytes, nil
+				}
+				dir := t.TempDir()
+				s, m := filled(t, dir, o, 3, 5)
+				on = true
+				var ms []Message
+				for i := range 12 {
+					ms = append(ms, Message{ID: fmt.Sprint("x", i), Dest: i % 5, Due: 5, Order: "k", Data: make([]byte, 400)})
+				}
+				err := s.Put(ms...)
+				on = false
+				if err == nil {
+					if at < 5 {
+						t.Fatalf("no write failed after %d", at)
+					}
+					break
+				}
+				var f *Failure
+				if !errors.Is(err, cause) || !errors.As(err, &f) || f.Remedy() == "" {
+					t.Fatalf("write %d: %v", at, err)
+				}
+				same(t, s, m)
+				if err := s.Put(ms...); err != nil {
+					t.Fatalf("after write %d failed: %v", at, err)
+				}
+				for _, h := range ms {
+					m[h.Dest] = append(m[h.Dest], Held{Message: h})
+				}
+				for range 2 {
+					for dest, q := range m {
+						if got, err := s.Next(dest, 1000, 1<<30); err != nil || !slices.EqualFunc(got, q, alike) {
+							t.Fatalf("after write %d failed destination %d has %s: %v", at, dest, ids(got), err)
+						}
+					}
+					s.Close()
+					s = mustOpen(t, dir, small(&killer{}))
+				}
+				s.Close()
+			}
+		}
+	}
+}
+
+// Guards against an Out that fails and is not as if it had not been, or can't be made again.
+func TestOutThatFails(t *testing.T) {
+	for at := range 6 {
+		n, on := 0, false
+		o := small(&killer{})
+		o.fault = func(op, _ string, bytes int) (int, error) {
+			if n++; on && n > at {
+				return 0, syscall.EROFS
+			}
+			return bytes, nil
+		}
+		s, m := filled(t, t.TempDir(), o, 2, 8)
+		same(t, s, m)
+		var out []uint64
+		for i, h := range m[1] {
+			if i != 2 && i != 5 {
+				out = append(out, h.Place)
+			}
+		}
+		n, on = 0, true
+		err := s.Out(1, out...)
+		if on = false; err == nil && at < 2 {
+			t.Fatalf("no write failed after %d", at)
+		}
+		if err := s.Out(1, out...); err != nil {
+			t.Fatal(err)
+		}
+		m.out(1, out...)
+		same(t, s, m)
+		s.Close()
+	}
+}
+
+// Guards against a folder whose older copy does not open as what it was then.
+func TestRolledBack(t *testing.T) {
+	dir := filepath.Join(t.TempDir(), "b")
+	s, m := filled(t, dir, small(&killer{}), 3, 20)
+	same(t, s, m)
+	copied := copyDir(t, dir)
+	for dest, q := range m {
+		if err := s.Out(dest, q[0].Place, q[3].Place, q[4].Place); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := s.Put(Message{ID: "later", Dest: 9}); err != nil {
+		t.Fatal(err)
+	}
+	s.Close()
+	s = mustOpen(t, copied, small(&killer{}))
+	defer s.Close()
+	same(t, s, m)
+	if d := s.Damage(); len(d) > 0 {
+		t.Fatal(d)
+	}
+}
+
+// Guards against a budget that is smaller than what is there and loses it, or takes more.
+func TestSmallerBudget(t *testing.T) {
+	dir := t.TempDir()
+	s, m := filled(t, dir, small(&killer{}), 2, 60)
+	s.Close()
+	o := small(&killer{})
+	o.Disk = 48 << 10 // of which the table has 32
+	s = mustOpen(t, dir, o)
+	defer s.Close()
+	same(t, s, m)
+	if err := s.Put(Message{ID: "x", Dest: 1}); !errors.Is(err, ErrFull) {
+		t.Fatalf("beyond the budget: %v", err)
+	}
+	for dest, q := range m {
+		for _, h := range slices.Clone(q[:55]) {
+			if err := s.Out(dest, h.Place); err != nil {
+				t.Fatal(err)
+			}
+			m.out(dest, h.Place)
+		}
+	}
+	same(t, s, m)
+	if err := s.Put(Message{ID: "x", Dest: 1}); err != nil {
+		t.Fatalf("with room again, %d bytes of %d: %v", s.Bytes(), onDisk(t, dir), err)
+	}
+}
+
+// Guards against a folder of another format that is read, or changed, as if it were this one's.
+func TestOtherVersion(t *testing.T) {
+	salt := make([]byte, saltLen)
+	next := strings.Replace(string(versionText(salt)[:len(versionLine)+2*saltLen+1]), "backlog 1", "backlog 2", 1)
+	for _, text := range []string{"larchrouter backlog 2\n", "2\n", "something else that is longer than a line of ours, by far: it goes on and on\n",
+		next + fmt.Sprintf("%08x\n", crc32.Checksum([]byte(next), castagnoli))} {
+		dir := t.TempDir()
+		s, _ := filled(t, dir, small(&killer{}), 2, 5)
+		s.Close()
+		if err := os.WriteFile(filepath.Join(dir, versionName), []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		before := onDisk(t, dir)
+		var v *Version
+		if _, err := Open(dir, small(&killer{})); !errors.As(err, &v) || v.Remedy() == "" || v.Own == v.Found {
+			t.Fatalf("%q: %v", text, err)
+		}
+		if got, _ := os.ReadFile(filepath.Join(dir, versionName)); string(got) != text || onDisk(t, dir) != before {
+			t.Fatalf("%q was changed", text)
+		}
+	}
+	file := filepath.Join(t.TempDir(), "file")
+	if err := os.WriteFile(file, nil, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	var f *Failure
+	if _, err := Open(file, Options{Disk: 1}); !errors.As(err, &f) || f.Remedy() == "" {
+		t.Fatalf("a file for a folder: %v", err)
+	}
+}
+
+// Guards against thousands of destinations with a little each that take a descriptor each, or a walk over all.
+func TestManyDestinationsWithALittle(t *testing.T) {
+	const dests = 1000
+	dir, before := t.TempDir(), openFiles(t)
+	s := mustOpen(t, dir, Options{Disk: 64 << 20, Files: 8})
+	defer s.Close()
+	for i := range 2 * dests {
+		if err := s.Put(Message{ID: fmt.Sprint(i), Dest: i % dests, Due: int64(5000 - i), Data: make([]byte, 50)}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if n := openFiles(t) - before; n > 8 {
+		t.Fatalf("%d files are open", n)
+	}
+	all, err := s.Due(5000, 300)
+	if err != nil || len(all) != 300 || all[0].Due != 5000-2*dests+1 || all[299].Due != 5000-2*dests+300 {
+		t.Fatalf("%d due, %v", len(all), err)
+	}
+	for dest := range dests {
+		all, err := s.Next(dest, 10, 1<<20)
+		if err != nil || len(all) != 2 || all[0].ID != fmt.Sprint(dest) {
+			t.Fatalf("destination %d has %s: %v", dest, ids(all), err)
+		}
+		if err := s.Out(dest, all[0].Place, all[1].Place); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if n := openFiles(t) - before; n > 8 || s.Len() > 0 || s.Bytes() > 64<<10 {
+		t.Fatalf("%d files are open, %d messages and %d bytes left", n, s.Len(), s.Bytes())
+	}
+}
+
+func openFiles(t testing.TB) int {
+	all, err := os.ReadDir("/proc/self/fd")
+	if err != nil {
+		t.Skip(err)
+	}
+	return len(all)
+}
+
+// Guards against messages due together that come out of order, more than once, or at the cost of looking at all of them each time.
+func TestManyDueAtOnce(t *testing.T) {
+	const n = 6000
+	var read int
+	s := mustOpen(t, t.TempDir(), Options{Disk: 64 << 20, SegmentLeast: 64 << 10, SegmentMost: 64 << 10})
+	defer s.Close()
+	var ms []Message
+	for i := range n {
+		ms = append(ms, Message{ID: fmt.Sprint(i), Dest: i % 3, Due: int64(1000 + i*7919%1000), Data: make([]byte, 30)})
+	}
+	if err := s.Put(ms...); err != nil {
+		t.Fatal(err)
+	}
+	seen, last := map[string]bool{}, int64(0)
+	for len(seen) < n {
+		all, err := s.Due(2000, 100)
+		if err != nil || len(all) == 0 {
+			t.Fatalf("after %d: %v", len(seen), err)
+		}
+		for _, h := range all {
+			if seen[h.ID] || h.Due < last {
+				t.Fatalf("%s comes again or too late, after %d", h.ID, len(seen))
+			}
+			seen[h.ID], last = true, h.Due
+			if err := s.Out(h.Dest, h.Place); err != nil {
+				t.Fatal(err)
+			}
+		}
+		read++
+	}
+	if read != n/100 || s.Len() != 0 {
+		t.Fatalf("%d calls, %d left", read, s.Len())
+	}
+	if s.scanned > 4*n/runLen {
+		t.Fatalf("a segment's entries were gone through %d times for %d messages", s.scanned, n)
+	}
+}
--- a/internal/backlog/model_test.go
+++ b/internal/backlog/model_test.go
@@ -274,7 +274,7 @@
 			}
 			*k = killer{}
 			same(t, s, m)
-			if used := onDisk(t, dir); s.Bytes() < used {
+			if used := onDisk(t, dir); s.Bytes() != used {
 				t.Fatalf("the files have %d bytes, it says %d", used, s.Bytes())
 			}
 		}
--- a/internal/backlog/store.go
+++ b/internal/backlog/store.go
@@ -20,6 +20,8 @@
 	told    uint64 // highest place that the state knows of
 	hold    int    // calls of Out until a segment is written anew again, after one could not be
 	damage  []error
+	half    []*part // what calls that failed wrote and could not take back
+	scanned int     // how often a segment's entries were gone through for a run
 	now     func() time.Time
 }
 
@@ -34,6 +36,12 @@
 
 // Put takes messages on, whole or not at all. They are written when it returns.
 func (s *Store) Put(ms ...Message) error {
+	for len(s.half) > 0 {
+		if err := s.undo(s.half[0]); err != nil {
+			return err
+		}
+		s.half = s.half[1:]
+	}
 	return s.mending(func() error { return s.put(ms) })
 }
 
@@ -59,7 +67,9 @@
 	for i, p := range parts {
 		if err := s.add(p); err != nil {
 			for _, p := range parts[:i+1] {
-				err = errors.Join(err, s.undo(p))
+				if s.undo(p) != nil {
+					s.half = append(s.half, p) // the next call has to, before anything else
+				}
 			}
 			return err
 		}
