--- /dev/null
+++ b/internal/backlog/state/state_test.go
@@ -0,0 +1,135 @@
+package state
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// msg is a message of the naive model.
+type msg struct {
+	place uint64
+	due   int64
+	bytes int64
+	gone  bool
+}
+
+// Guards against counts, budget, times or a verdict on a segment that differ from what follows from all messages.
+func TestStateEqualsMessages(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := Limits{Disk: 1 << 20, Least: 400, Most: 1600}
+		b := New(l)
+		b.Fixed(700)
+		of := map[*Segment][]msg{}
+		var put, copied int64 // bytes
+		place := uint64(0)
+		for range rapid.IntRange(1, 120).Draw(t, "steps") {
+			dest := rapid.IntRange(0, 3).Draw(t, "dest")
+			switch rapid.IntRange(0, 2).Draw(t, "do") {
+			case 0, 1:
+				place++
+				m := msg{place, rapid.Int64Range(0, 99).Draw(t, "due"), rapid.Int64Range(1, 300).Draw(t, "bytes"), false}
+				s := b.Tail(dest, place, 0)
+				if s == nil {
+					s = &Segment{Dest: dest, First: place, Last: place, Due: math.MaxInt64}
+					b.Begin(s)
+				}
+				before := b.Used()
+				grows := Growth(s, false, 1, m.bytes)
+				b.Grow(s, place, m.due, m.bytes)
+				if of[s] = append(of[s], m); b.Used()-before != grows {
+					t.Fatalf("grew by %d, not %d", b.Used()-before, grows)
+				}
+				put += m.bytes
+			case 2:
+				all := b.Segments(dest)
+				if len(all) == 0 {
+					continue
+				}
+				s := rapid.SampledFrom(all).Draw(t, "segment")
+				n := 0
+				for i := range of[s] {
+					if m := &of[s][i]; !m.gone && rapid.IntRange(0, 2).Draw(t, "goes") > 0 {
+						m.gone = true
+						n++
+					}
+				}
+				head, before, gone, live := uint32(0), int64(0), int64(0), int64(0)
+				for i, m := range of[s] {
+					switch {
+					case m.gone && int(head) == i:
+						head, before = head+1, before+m.bytes
+					case m.gone:
+						gone += m.bytes
+					default:
+						live += m.bytes
+					}
+				}
+				what, want := b.Leave(s, n, head, before, gone), Keep
+				if live == 0 {
+					want = Drop
+				} else if gone > live && gone >= l.Least/4 {
+					want = Renew
+				}
+				if what != want {
+					t.Fatalf("%d live, %d gone: %d, not %d", live, gone, what, want)
+				}
+				switch what {
+				case Drop:
+					b.Remove(s)
+					delete(of, s)
+				case Renew:
+					of[s] = slices.DeleteFunc(of[s], func(m msg) bool { return m.gone })
+					b.Renewed(s, uint32(len(of[s])), live)
+					copied += live
+				}
+			}
+			naive(t, b, of)
+		}
+		if copied > put {
+			t.Fatalf("%d bytes written anew of %d", copied, put)
+		}
+	})
+}
+
+func naive(t *rapid.T, b *State, of map[*Segment][]msg) {
+	n, used, least := 0, int64(1024), int64(math.MaxInt64)
+	dests := map[int]int{}
+	for s, all := range of {
+		var data int64
+		for _, m := range all {
+			data += m.bytes
+			if !m.gone {
+				n++
+				dests[s.Dest]++
+				least = min(least, m.due)
+			}
+			if b.Of(s.Dest, m.place) != s || !b.Begun(s.Dest, m.place) {
+				t.Fatalf("place %d is not where it was put", m.place)
+			}
+		}
+		used += (Header+Entry*int64(len(all))+511)/512*512 + (data+511)/512*512
+	}
+	if b.Len() != n || b.Used() != used || b.Room() != 1<<20-used {
+		t.Fatalf("%d messages and %d bytes, want %d and %d", b.Len(), b.Used(), n, used)
+	}
+	for dest := range 4 {
+		if b.LenOf(dest) != dests[dest] || !slices.IsSortedFunc(b.Segments(dest), func(x, y *Segment) int { return cmp.Compare(x.First, y.First) }) {
+			t.Fatalf("destination %d has %d, want %d", dest, b.LenOf(dest), dests[dest])
+		}
+	}
+	if len(slices.Collect(b.Dests())) != len(dests) {
+		t.Fatalf("destinations %v, want %v", slices.Collect(b.Dests()), dests)
+	}
+	if s := b.Earliest(); (s == nil) != (n == 0) || s != nil && s.Due > least {
+		t.Fatalf("the earliest is %+v, of %d messages the least time %d", s, n, least)
+	}
+	for s := range of {
+		if s.Due < b.Earliest().Due {
+			t.Fatal("the earliest is not")
+		}
+	}
+}
