--- a/internal/backlog/take.go
+++ b/internal/backlog/take.go
@@ -21,8 +21,11 @@
 		}
 	}
 	gen, head, headKnown, ok := readHeader(index, seg.Dest, seg.First)
-	if !ok && len(has.gens) > 0 {
-		gen = slices.Min(has.gens) // a later one may be half written
+	if len(has.gens) > 0 && !(ok && slices.Contains(has.gens, gen)) {
+		if ok || len(has.gens) > 1 {
+			index = nil // what entries say of other data says nothing of this
+		}
+		gen, ok = slices.Min(has.gens), false // a later one may be half written
 	}
 	seg.Gen = gen
 	for _, g := range has.gens {
