--- /dev/null
+++ b/internal/backlog/many_test.go
@@ -0,0 +1,85 @@
+package backlog
+
+import (
+	"fmt"
+	"os"
+	"testing"
+)
+
+// Guards against thousands of destinations with a little each that take a descriptor each, or a walk over all.
+func TestManyDestinationsWithALittle(t *testing.T) {
+	const dests = 1000
+	dir, before := t.TempDir(), openFiles(t)
+	s := mustOpen(t, dir, Options{Disk: 64 << 20, Files: 8})
+	defer s.Close()
+	for i := range 2 * dests {
+		if err := s.Put(Message{ID: fmt.Sprint(i), Dest: i % dests, Due: int64(5000 - i), Data: make([]byte, 50)}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if n := openFiles(t) - before; n > 8 {
+		t.Fatalf("%d files are open", n)
+	}
+	all, err := s.Due(5000, 300)
+	if err != nil || len(all) != 300 || all[0].Due != 5000-2*dests+1 || all[299].Due != 5000-2*dests+300 {
+		t.Fatalf("%d due, %v", len(all), err)
+	}
+	for dest := range dests {
+		all, err := s.Next(dest, 10, 1<<20)
+		if err != nil || len(all) != 2 || all[0].ID != fmt.Sprint(dest) {
+			t.Fatalf("destination %d has %s: %v", dest, ids(all), err)
+		}
+		if err := s.Out(dest, all[0].Place, all[1].Place); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if n := openFiles(t) - before; n > 8 || s.Len() > 0 || s.Bytes() > 64<<10 {
+		t.Fatalf("%d files are open, %d messages and %d bytes left", n, s.Len(), s.Bytes())
+	}
+}
+
+func openFiles(t testing.TB) int {
+	all, err := os.ReadDir("/proc/self/fd")
+	if err != nil {
+		t.Skip(err)
+	}
+	return len(all)
+}
+
+// Guards against messages due together that come out of order, more than once, or at the cost of looking at all of them each time.
+func TestManyDueAtOnce(t *testing.T) {
+	const n = 6000
+	var read int
+	s := mustOpen(t, t.TempDir(), Options{Disk: 64 << 20, SegmentLeast: 64 << 10, SegmentMost: 64 << 10})
+	defer s.Close()
+	var ms []Message
+	for i := range n {
+		ms = append(ms, Message{ID: fmt.Sprint(i), Dest: i % 3, Due: int64(1000 + i*7919%1000), Data: make([]byte, 30)})
+	}
+	if err := s.Put(ms...); err != nil {
+		t.Fatal(err)
+	}
+	seen, last := map[string]bool{}, int64(0)
+	for len(seen) < n {
+		all, err := s.Due(2000, 100)
+		if err != nil || len(all) == 0 {
+			t.Fatalf("after %d: %v", len(seen), err)
+		}
+		for _, h := range all {
+			if seen[h.ID] || h.Due < last {
+				t.Fatalf("%s comes again or too late, after %d", h.ID, len(seen))
+			}
+			seen[h.ID], last = true, h.Due
+			if err := s.Out(h.Dest, h.Place); err != nil {
+				t.Fatal(err)
+			}
+		}
+		read++
+	}
+	if read != n/100 || s.Len() != 0 {
+		t.Fatalf("%d calls, %d left", read, s.Len())
+	}
+	if s.scanned > 4*n/runLen {
+		t.Fatalf("a segment's entries were gone through %d times for %d messages", s.scanned, n)
+	}
+}
--- /dev/null
+++ b/internal/backlog/queues_test.go
@@ -0,0 +1,130 @@
+package backlog
+
+import (
+	"bytes"
+	"cmp"
+	"errors"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// Guards against a store that differs from plain queues, over any operations, restarts and kills at any byte.
+func TestStoreEqualsQueues(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		dir, k := tempDir(t), &killer{}
+		s := mustOpen(t, dir, small(k))
+		defer func() { s.Close() }()
+		m := model{}
+		next := 0
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			var p pending
+			var err error
+			if rapid.IntRange(0, 7).Draw(t, "kill") == 0 {
+				*k = killer{left: rapid.IntRange(0, 2000).Draw(t, "bytes"), on: true}
+			}
+			p.dest = rapid.IntRange(0, 3).Draw(t, "dest")
+			q := m[p.dest]
+			switch rapid.SampledFrom([]string{"put", "put", "put", "head", "some", "due", "open"}).Draw(t, "do") {
+			case "put":
+				var ms []Message
+				for range rapid.IntRange(1, 12).Draw(t, "n") {
+					next++
+					h := Message{ID: fmt.Sprint("m", next), Dest: rapid.SampledFrom([]int{p.dest, p.dest, (p.dest + 1) % 4}).Draw(t, "to"),
+						Due: rapid.Int64Range(1, 60).Draw(t, "due"), Data: bytes.Repeat([]byte{byte(next)}, rapid.SampledFrom([]int{0, 10, 100, 300, 6000}).Draw(t, "size"))}
+					if rapid.Bool().Draw(t, "ordered") {
+						h.Order = fmt.Sprint("k", h.Dest, rapid.IntRange(0, 2).Draw(t, "key"))
+					}
+					ms, p.put = append(ms, h), append(p.put, Held{Message: h})
+				}
+				if err = s.Put(ms...); err == nil {
+					for _, h := range p.put {
+						m[h.Dest] = append(m[h.Dest], h)
+					}
+				}
+			case "head", "some":
+				for i, h := range q {
+					if i < 5 && rapid.IntRange(0, 4).Draw(t, "head") > 0 || rapid.IntRange(0, 2).Draw(t, "some") == 0 {
+						p.out = append(p.out, h.Place)
+					}
+				}
+				if err = s.Out(p.dest, append(p.out, 1<<50)...); err == nil {
+					m.out(p.dest, p.out...)
+				}
+			case "due":
+				before, n := rapid.Int64Range(0, 60).Draw(t, "before"), rapid.IntRange(1, 100).Draw(t, "most")
+				all, e := s.Due(before, n)
+				want := slices.DeleteFunc(m.all(), func(h Held) bool { return h.Due > before })
+				slices.SortStableFunc(want, func(a, b Held) int { return cmp.Compare(a.Due, b.Due) })
+				if e != nil || len(all) != min(n, len(want)) {
+					t.Fatalf("due before %d are %s, want %s: %v", before, ids(all), ids(want), e)
+				}
+				for i, h := range all {
+					if h.Due != want[i].Due || !slices.ContainsFunc(m[h.Dest], func(x Held) bool { return alike(x, h) && x.Place == h.Place }) {
+						t.Fatalf("due before %d are %s, want %s", before, ids(all), ids(want))
+					}
+					if h.Dest == p.dest {
+						p.out = append(p.out, h.Place)
+					}
+				}
+				if err = s.Out(p.dest, p.out...); err == nil {
+					m.out(p.dest, p.out...)
+				}
+			case "open":
+				s.Close()
+				var again *Store
+				if again, err = Open(dir, small(k)); err == nil {
+					s = again
+				}
+			}
+			if err != nil || k.done {
+				if !k.done {
+					t.Fatal(err)
+				}
+				s.Close()
+				*k = killer{}
+				s = mustOpen(t, dir, small(k))
+				settle(t, s, m, p)
+			}
+			*k = killer{}
+			same(t, s, m)
+			if used := onDisk(t, dir); s.Bytes() != used {
+				t.Fatalf("the files have %d bytes, it says %d", used, s.Bytes())
+			}
+		}
+		if d := s.Damage(); len(d) > 0 {
+			t.Fatal(d)
+		}
+	})
+}
+
+// Guards against a wait that is none, and a refusal that keeps something.
+func TestFullRefusesWhole(t *testing.T) {
+	o := small(&killer{})
+	o.Disk, o.now = 64<<10, func() time.Time { return time.UnixMilli(1000) }
+	s := mustOpen(t, t.TempDir(), o)
+	defer s.Close()
+	m := model{}
+	for i := 0; ; i++ {
+		ms := []Message{{ID: fmt.Sprint("a", i), Dest: 1, Due: 6000, Data: make([]byte, 900)}, {ID: fmt.Sprint("b", i), Dest: 2, Due: 9000, Data: make([]byte, 900)}}
+		err := s.Put(ms...)
+		if err == nil {
+			m[1], m[2] = append(m[1], Held{Message: ms[0]}), append(m[2], Held{Message: ms[1]})
+			continue
+		}
+		var f *Full
+		if !errors.Is(err, ErrFull) || !errors.As(err, &f) || f.Wait != 5*time.Second || f.Remedy() == "" || s.Bytes() > o.Disk || i < 5 {
+			t.Fatalf("after %d with %d bytes: %v %+v", i, s.Bytes(), err, f)
+		}
+		break
+	}
+	same(t, s, m)
+	if err := s.Out(1, m[1][0].Place); err != nil {
+		t.Fatal(err)
+	}
+	m.out(1, m[1][0].Place)
+	same(t, s, m)
+}
