backlog: a key is bound to a destination by what lies there alone

Found by the model once it also asked for keys that are gone: the slot of a message whose Put was killed or refused passed for one just being put, so its key stayed bound to an empty queue. Such slots now count while a page is split only, and a refused Put counts its keys down again. Both tests fail without.

--- a/internal/backlog/folder_test.go
+++ b/internal/backlog/folder_test.go
@@ -230,3 +230,42 @@
 		t.Fatalf("a file for a folder: %v", err)
 	}
 }
+
+// Guards against a key that stays bound to a destination by messages that were refused.
+func TestKeyOfWhatWasRefused(t *testing.T) {
+	o, on := small(&killer{}), true
+	o.fault = func(_, name string, bytes int) (int, error) {
+		if on && strings.HasSuffix(name, ".dat") {
+			return bytes / 2, syscall.ENOSPC
+		}
+		return bytes, nil
+	}
+	s := mustOpen(t, t.TempDir(), o)
+	defer s.Close()
+	ms := []Message{{ID: "a", Dest: 1, Order: "k"}, {ID: "b", Dest: 1, Order: "k"}}
+	if err := s.Put(ms...); !errors.Is(err, syscall.ENOSPC) {
+		t.Fatal(err)
+	}
+	if dest, ok := s.Key("k"); ok {
+		t.Fatalf("known of %d", dest)
+	}
+	on = false
+	if err := s.Put(ms...); err != nil {
+		t.Fatal(err)
+	}
+	if err := s.Put(Message{ID: "other", Dest: 1}); err != nil { // so that the queue outlasts the key
+		t.Fatal(err)
+	}
+	for left := 2; left >= 0; left-- {
+		if _, ok := s.Key("k"); ok != (left > 0) {
+			t.Fatalf("with %d left known: %v", left, ok)
+		}
+		all, err := s.Next(1, 1, 1)
+		if err != nil || len(all) != 1 {
+			t.Fatal(err)
+		}
+		if err := s.Out(1, all[0].Place); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
--- a/internal/backlog/queues_test.go
+++ b/internal/backlog/queues_test.go
@@ -19,7 +19,7 @@
 		s := mustOpen(t, dir, small(k))
 		defer func() { s.Close() }()
 		m := model{}
-		next := 0
+		next, killed := 0, false
 		for range rapid.IntRange(1, 40).Draw(t, "steps") {
 			var p pending
 			var err error
@@ -85,12 +85,22 @@
 					t.Fatal(err)
 				}
 				s.Close()
+				killed = true
 				*k = killer{}
 				s = mustOpen(t, dir, small(k))
 				settle(t, s, m, p)
 			}
 			*k = killer{}
 			same(t, s, m)
+			for dest := range 4 {
+				for i := range 3 {
+					key := fmt.Sprint("k", dest, i)
+					there := slices.ContainsFunc(m[dest], func(h Held) bool { return h.Order == key })
+					if _, ok := s.Key(key); ok != there && !(ok && killed && len(m[dest]) > 0) {
+						t.Fatalf("key %s is known: %v; its messages are there: %v", key, ok, there)
+					}
+				}
+			}
 			if used := onDisk(t, dir); s.Bytes() != used {
 				t.Fatalf("the files have %d bytes, it says %d", used, s.Bytes())
 			}
--- a/internal/backlog/read.go
+++ b/internal/backlog/read.go
@@ -112,7 +112,7 @@
 	err := s.mending(func() error {
 		ok = false
 		return s.table.find(hash, func(t slot, _ int64) bool {
-			if t.count > 0 && s.alive(t) {
+			if t.count > 1 && s.st.Begun(t.dest, t.place) {
 				dest, ok = t.dest, true
 			}
 			return !ok
--- a/internal/backlog/store.go
+++ b/internal/backlog/store.go
@@ -57,15 +57,12 @@
 	if err := s.roomFor(need); err != nil {
 		return err
 	}
-	for _, p := range parts {
-		for i := range p.entries {
-			if err := s.table.add(p.seg.Dest, &p.entries[i]); err != nil {
-				return err
-			}
-		}
+	if err := s.index(parts); err != nil {
+		return err
 	}
 	for i, p := range parts {
 		if err := s.add(p); err != nil {
+			err = errors.Join(err, s.unkey(parts))
 			for _, p := range parts[:i+1] {
 				if s.undo(p) != nil {
 					s.half = append(s.half, p) // the next call has to, before anything else
@@ -139,6 +136,31 @@
 	return nil
 }
 
+// index notes in the table where messages are about to be.
+func (s *Store) index(parts []*part) error {
+	for i, p := range parts {
+		for j := range p.entries {
+			if err := s.table.add(p.seg.Dest, &p.entries[j]); err != nil {
+				p.entries = p.entries[:j]
+				return errors.Join(err, s.unkey(parts[:i+1]))
+			}
+		}
+	}
+	return nil
+}
+
+// unkey has messages that are not taken on count for their keys no more.
+func (s *Store) unkey(parts []*part) (err error) {
+	for _, p := range parts {
+		for _, e := range p.entries {
+			if e.key != 0 {
+				err = errors.Join(err, s.table.count(e.key, p.seg.Dest, e.place, false))
+			}
+		}
+	}
+	return err
+}
+
 // add writes a part: entries first, so that a frame without one is never a kill's work.
 func (s *Store) add(p *part) error {
 	at := int64(0)
