--- a/internal/journal/compact.go
+++ b/internal/journal/compact.go
@@ -13,7 +13,7 @@
 	order := j.order[:0:0]
 	for e := range j.All() {
 		buf = frame(buf, Record{Op: OpTaken, Entry: e})
-		order = append(order, place{e.ID, e.place})
+		order = append(order, place{e.ID, e.seq})
 	}
 	for id, h := range j.unwell {
 		if time.Since(time.UnixMilli(h.At)) > forgetUnwell { // its host may be gone from the list since
@@ -78,7 +78,7 @@
 func (j *Journal) All() iter.Seq[*Entry] {
 	return func(yield func(*Entry) bool) {
 		for _, p := range j.order {
-			if e := j.entries[p.id]; e != nil && e.place == p.n && !yield(e) {
+			if e := j.entries[p.id]; e != nil && e.seq == p.n && !yield(e) {
 				return
 			}
 		}
--- a/internal/journal/estates_test.go
+++ b/internal/journal/estates_test.go
@@ -154,7 +154,7 @@
 func texts(j *Journal) (all []string) {
 	for e := range j.All() {
 		c := *e
-		c.size, c.place = 0, 0
+		c.size, c.seq = 0, 0
 		all = append(all, fmt.Sprintf("%+v", c))
 	}
 	return all
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -163,8 +163,8 @@
 		j.live += e.size
 		j.entries[e.ID] = e
 		j.places++
-		e.place = j.places
-		j.order = append(j.order, place{e.ID, e.place})
+		e.seq = j.places
+		j.order = append(j.order, place{e.ID, e.seq})
 	case e == nil:
 	case r.Op == OpTry:
 		e.Tries++
