--- a/internal/journal/compact.go
+++ b/internal/journal/compact.go
@@ -48,17 +48,17 @@
 			return onDisk("it could not be written anew", err)
 		}
 	}
-	f, err := os.OpenFile(j.path+".tmp", os.O_CREATE|os.O_TRUNC|os.O_RDWR, 0o600)
+	f, err := os.OpenFile(j.path+".next", os.O_CREATE|os.O_TRUNC|os.O_RDWR, 0o600)
 	if err != nil {
 		return onDisk("it could not be written anew", err)
 	}
 	_, err = f.Write(buf)
 	if err == nil {
-		err = os.Rename(j.path+".tmp", j.path)
+		err = os.Rename(j.path+".next", j.path)
 	}
 	if err != nil {
 		f.Close()
-		os.Remove(j.path + ".tmp")
+		os.Remove(j.path + ".next")
 		return onDisk("it could not be written anew", err)
 	}
 	if j.f != nil {
@@ -94,6 +94,9 @@
 // Len is how many messages are held.
 func (j *Journal) Len() int { return len(j.entries) }
 
+// Crowded tells whether what is held takes three eighths of the budget: the file and its copy need half of what is left, too.
+func (j *Journal) Crowded() bool { return 8*j.live > 3*j.budget }
+
 // Size is the length of the file in bytes.
 func (j *Journal) Size() int64 { return j.size }
 
--- a/internal/journal/estates_test.go
+++ b/internal/journal/estates_test.go
@@ -80,8 +80,10 @@
 	if !errors.Is(err, ErrFull) || !errors.As(err, &f) || f.Remedy() == "" || j.Entry("old") == nil {
 		t.Fatalf("more than there is room for: %v, the old is there: %v", err, j.Entry("old") != nil)
 	}
-	if err := os.WriteFile(filepath.Join(dir, "journal.tmp"), []byte("half"), 0o600); err != nil {
-		t.Fatal(err)
+	for _, left := range []string{"journal.next", "journal.tmp"} {
+		if err := os.WriteFile(filepath.Join(dir, left), []byte("half"), 0o600); err != nil {
+			t.Fatal(err)
+		}
 	}
 	j = reopen(t, dir, j)
 	if j.Entry("old") == nil {
--- /dev/null
+++ b/internal/journal/fence_test.go
@@ -0,0 +1,39 @@
+package journal
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+)
+
+// Guards against a fence that keeps this version out too, that does not outlast starts and compactions, or that does not keep
+// out older versions, which remove a file of that name before they start.
+func TestFence(t *testing.T) {
+	dir := t.TempDir()
+	if err := os.WriteFile(filepath.Join(dir, "journal.tmp"), []byte("half"), 0o600); err != nil { // of one that was killed
+		t.Fatal(err)
+	}
+	for range 2 {
+		if err := Fence(dir, "a later version's"); err != nil {
+			t.Fatal(err)
+		}
+		j := open(t, dir, 3e6)
+		put(t, j, taken("a", 10))
+		if err := j.Compact(); err != nil {
+			t.Fatal(err)
+		}
+		if err := os.Remove(filepath.Join(dir, "journal.tmp")); err == nil {
+			t.Fatal("an older version could start")
+		}
+	}
+	why, err := os.ReadFile(filepath.Join(dir, "journal.tmp", "WHY"))
+	if err != nil || string(why) != "a later version's\n" {
+		t.Errorf("it says %q, %v", why, err)
+	}
+	if err := Unfence(dir); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := os.Stat(filepath.Join(dir, "journal.tmp")); !os.IsNotExist(err) {
+		t.Errorf("it still stands: %v", err)
+	}
+}
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -84,7 +84,10 @@
 func Open(dir string, budget int64) (*Journal, error) {
 	j := empty(filepath.Join(dir, "journal"), budget-4*blockSize)
 	// A leftover copy is of a compaction that a kill cut short: the old file still holds all.
-	if err := os.Remove(j.path + ".tmp"); err != nil && !errors.Is(err, os.ErrNotExist) {
+	if err := os.Remove(j.path + ".next"); err != nil && !errors.Is(err, os.ErrNotExist) {
+		return nil, err
+	}
+	if err := unfenced(filepath.Join(dir, oldNext)); err != nil {
 		return nil, err
 	}
 	data, err := os.ReadFile(j.path)
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -63,8 +63,10 @@
 		if err := os.WriteFile(filepath.Join(dir, "journal"), data, 0o600); err != nil {
 			t.Fatal(err)
 		}
-		if err := os.WriteFile(filepath.Join(dir, "journal.tmp"), whole, 0o600); err != nil {
-			t.Fatal(err)
+		for _, left := range []string{"journal.next", "journal.tmp"} { // by this version, and by one before the fence
+			if err := os.WriteFile(filepath.Join(dir, left), whole, 0o600); err != nil {
+				t.Fatal(err)
+			}
 		}
 		j := open(t, dir, 3e6)
 		want(t, "entries", len(j.entries), 1)
