relay: what the decisions have no room for waits on disk

With backlog in its configuration a relay keeps a bounded window of each destination for the decisions and puts the rest on disk, in the order in which it was taken on; without it nothing is opened.

--- a/internal/relay/bequeath.go
+++ b/internal/relay/bequeath.go
@@ -67,11 +67,14 @@
 			r.journal.Break(err)
 			slog.Error("journal lost in a hand-over", "err", err)
 		}
+		r.openAgain()
 		return
 	}
 	slog.Info("handed over", "held", len(r.held), "calls", r.out)
 	r.heir, r.asked = l, map[int64]*intake{}
+	r.overflow = nil
 	r.figures.hold(0, 0, 0) // they are the next process's
+	r.figures.waiting(nil)
 	r.passedAt.Store(time.Now().UnixNano())
 	r.records, r.untold = nil, nil
 	r.journal.Close()
@@ -91,6 +94,7 @@
 	if r.flush(); r.stopped || len(r.records) > 0 {
 		return nil, errors.New("this process stops, or cannot write its journal")
 	}
+	r.overflow.shut()
 	file, err := r.tcp.File()
 	if err != nil {
 		return nil, fmt.Errorf("listener: %w", err)
--- a/internal/relay/books.go
+++ b/internal/relay/books.go
@@ -27,6 +27,9 @@
 	twice bool      // its client sent it on a second connection
 	gone  bool      // it has become another relay's
 	over  bool
+	// cost is what it takes of the window, in bytes, while it does; served says that it ended by a delivery.
+	cost   int
+	served bool
 }
 
 func (m *message) answer(a answer) {
@@ -46,6 +49,8 @@
 	owed    int      // notices
 	notices chan notice
 	copies  *copying // nil in a relay that copies nothing
+	// overflow is what the decisions have no room for; nil in a relay that keeps no backlog.
+	overflow *overflow
 }
 
 // restore takes up what the journal holds. What is in an estate waits until that is known to be this relay's still.
@@ -88,9 +93,10 @@
 	}
 	m := &message{Entry: e, due: r.now() + ms(e.Due-wall)}
 	r.held[id] = m
+	r.overflow.enter(m)
 	adopted := r.heritage.callOf(id)
 	ev := choice.Restored{Arrival: choice.Arrival{ID: id, Class: class, Dest: e.Dest, Left: ms(e.Due - wall),
-		Tenant: slices.Index(r.set.Load().TenantNames, e.Tenant), Terms: e.Terms},
+		Key: e.Order, Tenant: slices.Index(r.set.Load().TenantNames, e.Tenant), Terms: e.Terms},
 		Attempts: e.Tries, Timeout: ms(e.Wait), Ran: e.Ran, RanAgo: ms(wall - e.RanAt), RanZone: e.Zone}
 	if adopted != nil {
 		m.call = adopted
@@ -124,6 +130,7 @@
 func (r *Relay) drop(m *message) {
 	m.over = true
 	delete(r.held, m.ID)
+	r.overflow.leave(m, r.now())
 	r.past.add(m.ID)
 }
 
--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -10,6 +10,7 @@
 
 	"larchrouter/internal/discovery"
 	"larchrouter/internal/fleet"
+	"larchrouter/internal/remedy"
 	"larchrouter/internal/settings"
 )
 
@@ -29,6 +30,7 @@
 	Settings  settings.Settings
 	Name      string
 	Fleet     *fleet.Config // nil for a relay that shares nothing
+	Backlog   *Backlog      // nil for a relay that keeps no backlog on disk
 
 	settings json.RawMessage // as the file has them
 	whole    []byte          // the file, against which the next one is checked
@@ -51,8 +53,55 @@
 	Settings json.RawMessage `json:"settings"`
 	Name     string          `json:"name"`
 	Fleet    *fleet.Config   `json:"fleet"`
+	Backlog  *Backlog        `json:"backlog"`
 }
 
+// Backlog is the object backlog of the configuration.
+type Backlog struct {
+	DiskMB float64 `json:"disk_mb"` // of limits.disk_mb
+}
+
+// journalLeast is what the journal must have of the disk beside a backlog, in MB.
+const journalLeast = 1
+
+// journalBytes is what the journal has of the disk.
+func (c *Config) journalBytes() int64 {
+	disk := int64(c.DiskMB * 1e6)
+	if c.Fleet != nil {
+		disk -= fleet.StateMost
+		if c.Fleet.Listen != "" {
+			disk -= int64(c.DiskMB * copiesPart * 1e6)
+		}
+	}
+	if c.Backlog != nil {
+		disk -= int64(c.Backlog.DiskMB * 1e6)
+	}
+	return disk
+}
+
+// checkBacklog tells what is wrong with the object backlog.
+func (c *Config) checkBacklog() error {
+	switch b := c.Backlog; {
+	case b == nil:
+	case !(b.DiskMB > 0):
+		return &BadBacklog{fmt.Sprintf("disk_mb is %g, must be above 0", b.DiskMB), "give it what messages that wait may take of the disk, or leave the object out"}
+	case c.Fleet != nil && c.Fleet.Copies > 0:
+		return &BadBacklog{"fleet.copies is set as well: holders would not have what lies on disk", "take out one of the two and restart the relay"}
+	case c.journalBytes() < journalLeast*1e6:
+		return &BadBacklog{fmt.Sprintf("disk_mb is %g of limits.disk_mb %g, which leaves %.1f MB for the journal", b.DiskMB, c.DiskMB, float64(c.journalBytes())/1e6),
+			fmt.Sprintf("raise limits.disk_mb or lower backlog.disk_mb until %d MB are left", journalLeast)}
+	}
+	return nil
+}
+
+// BadBacklog is a backlog that cannot be kept as the configuration has it.
+type BadBacklog struct{ Text, Advice string }
+
+func (b *BadBacklog) Error() string { return "backlog: " + b.Text }
+
+// Remedy says what an operator can do.
+func (b *BadBacklog) Remedy() string { return b.Advice }
+
 // readFile reads the file that BALANCER_CONFIG names.
 func readFile(env func(string) string) (path string, data []byte, f file, err error) {
 	if path = env("BALANCER_CONFIG"); path == "" {
@@ -81,7 +130,7 @@
 	}
 	c := Config{Listen: or("BALANCER_LISTEN", f.Listen), Admin: or("BALANCER_ADMIN_ADDR", f.Admin), Discovery: or("BALANCER_DISCOVERY", f.Discovery),
 		State: env("BALANCER_STATE"), Cores: f.Limits.Cores, MemoryMB: f.Limits.MemoryMB,
-		Sockets: f.Limits.Sockets, DiskMB: f.Limits.DiskMB, Known: f.Known, Name: or("BALANCER_NAME", f.Name), Fleet: f.Fleet, settings: f.Settings, whole: data}
+		Sockets: f.Limits.Sockets, DiskMB: f.Limits.DiskMB, Known: f.Known, Name: or("BALANCER_NAME", f.Name), Fleet: f.Fleet, Backlog: f.Backlog, settings: f.Settings, whole: data}
 	for name, v := range map[string]string{"listen": c.Listen, "discovery": c.Discovery, "BALANCER_STATE": c.State} {
 		if v == "" {
 			return c, &BadConfig{path, errors.New(name + " is missing")}
@@ -98,6 +147,9 @@
 			return c, &BadConfig{path, errors.New("name is missing, by which the fleet knows a relay")}
 		}
 	}
+	if err := c.checkBacklog(); err != nil {
+		return c, &BadConfig{path, err}
+	}
 	if f.Source != "" {
 		if c.Source = net.ParseIP(f.Source); c.Source == nil {
 			return c, &BadConfig{path, fmt.Errorf("source: %q is no IP address", f.Source)}
@@ -124,6 +176,9 @@
 	if err = settings.Complete(running, data); err != nil {
 		return nil, "", set, &BadConfig{path, err}
 	}
+	if err = sameBacklog(running, f.Backlog); err != nil {
+		return nil, "", set, &BadConfig{path, err}
+	}
 	if _, _, err = net.SplitHostPort(f.Discovery); err != nil {
 		return nil, "", set, &BadConfig{path, fmt.Errorf("discovery: %w", err)}
 	}
@@ -134,6 +189,18 @@
 	return data, f.Discovery, set, nil
 }
 
+// sameBacklog tells whether a configuration has the backlog of the one that runs: it is opened at the start.
+func sameBacklog(running []byte, next *Backlog) error {
+	var f file
+	if err := json.Unmarshal(running, &f); err != nil {
+		return err
+	}
+	if (f.Backlog == nil) != (next == nil) || next != nil && *next != *f.Backlog {
+		return &BadBacklog{"it is read at the start only, and is not as it was then", "put it back as it was, or restart the relay"}
+	}
+	return nil
+}
+
 // BadConfig is a configuration that the relay cannot act by.
 type BadConfig struct {
 	Path string
@@ -151,5 +218,8 @@
 
 // Remedy says what an operator can do.
 func (b *BadConfig) Remedy() string {
+	if advice := remedy.Of(b.Err); advice != "" {
+		return advice + "; a relay that runs goes on by the file before, whole"
+	}
 	return "correct that key of the file; a relay that runs goes on by the file before, whole"
 }
--- a/internal/relay/figures.go
+++ b/internal/relay/figures.go
@@ -33,6 +33,15 @@
 	reloadsOK, reloadsFailed int
 	agreed                   *hold.Acts // by what the relay acts; nil for one that shares nothing
 	copies                   copiesFigures
+	backlog                  backlogFigures
+}
+
+// backlogFigures are what waits on disk.
+type backlogFigures struct {
+	on                bool
+	messages, refused int
+	bytes             int64
+	broken            bool // the folder cannot be opened
 }
 
 // copiesFigures are how copies stand.
@@ -99,6 +108,20 @@
 	f.copies = c
 }
 
+// waiting tells what waits on disk now.
+func (f *figures) waiting(o *overflow) {
+	var b backlogFigures
+	if o != nil {
+		b = backlogFigures{on: true, messages: o.len(), refused: o.refused, broken: o.broken()}
+	}
+	if o != nil && o.store != nil {
+		b.bytes = o.store.Bytes()
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.backlog = b
+}
+
 // hold tells what there is now.
 func (f *figures) hold(inFlight, known, excluded int) {
 	f.mu.Lock()
@@ -129,5 +152,12 @@
 			fmt.Fprintf(&b, "svc.estates.of.%s=1\n", name)
 		}
 	}
+	if w := f.backlog; w.on {
+		shut := 0
+		if w.broken {
+			shut = 1
+		}
+		fmt.Fprintf(&b, "svc.backlog.messages=%d\nsvc.backlog.bytes=%d\nsvc.backlog.refused=%d\nsvc.backlog.shut=%d\n", w.messages, w.bytes, w.refused, shut)
+	}
 	return b.Bytes()
 }
--- a/internal/relay/intake.go
+++ b/internal/relay/intake.go
@@ -62,7 +62,7 @@
 		// The client left without an answer and may hand the message in again under another id.
 		// One that only ended its sending still reads: it is not told 202 of what is given up here.
 		gone := make(chan bool, 1)
-		r.post(func() { gone <- r.withdraw(in.entry.ID) })
+		r.post(func() { gone <- r.withdraw(in.entry.ID) || r.withdrawStored(in.entry) })
 		select {
 		case withdrawn := <-gone:
 			if withdrawn {
@@ -194,6 +194,7 @@
 		} else {
 			m.fresh = append(m.fresh, in)
 		}
+	case r.liesOnDisk(in):
 	case r.past.has(id):
 		in.reply <- answer{status: http.StatusAccepted}
 	case err != nil:
@@ -201,18 +202,21 @@
 	case r.dests[in.entry.Dest] == nil:
 		r.figures.ended(in.entry.Class, failedEnd)
 		in.reply <- answer{status: http.StatusNotFound, text: "unknown destination"}
-	case r.stopped || !r.copies.takes(r.now()) || set.MaxHeld > 0 && len(r.held) >= set.MaxHeld || r.owed >= maxOwed:
+	case r.stopped || !r.copies.takes(r.now()) || set.MaxHeld > 0 && len(r.held)+r.overflow.len() >= set.MaxHeld ||
+		r.owed >= maxOwed || r.overflow.broken():
 		r.figures.ended(in.entry.Class, refusedEnd)
 		in.reply <- refuse
+	case r.toDisk(in):
 	default:
 		if r.copies != nil {
 			in.entry.Estate = r.copies.main
 		}
 		m := &message{Entry: in.entry, due: in.due, fresh: []*intake{in}}
 		r.held[id] = m
+		r.overflow.enter(m)
 		r.fresh = append(r.fresh, m)
 		r.events = append(r.events, choice.Arrival{ID: id, Class: -1, Dest: in.entry.Dest, Terms: in.entry.Terms,
-			Left: in.due - r.now(), Tenant: slices.Index(set.TenantNames, in.entry.Tenant)})
+			Left: in.due - r.now(), Key: in.entry.Order, Tenant: slices.Index(set.TenantNames, in.entry.Tenant)})
 	}
 }
 
@@ -228,5 +232,6 @@
 	r.record(journal.Record{Op: journal.OpEnd, ID: id})
 	m.over = true
 	delete(r.held, id)
+	r.overflow.leave(m, r.now())
 	return true
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -119,16 +119,18 @@
 	if r.chooser, err = choice.New(set.Settings, conf.Seed); err != nil {
 		return nil, err
 	}
-	disk := int64(conf.DiskMB * 1e6)
-	if conf.Fleet != nil {
-		disk -= fleet.StateMost
-		if conf.Fleet.Listen != "" {
-			disk -= int64(conf.DiskMB * copiesPart * 1e6)
-		}
+	if r.journal, err = journal.Open(conf.State, conf.journalBytes()); err != nil {
+		return nil, err
 	}
-	if r.journal, err = journal.Open(conf.State, disk); err != nil {
+	if err = r.openBacklog(); err != nil {
 		return nil, err
 	}
+	waiting := r.overflow
+	defer func() {
+		if err != nil {
+			waiting.shut()
+		}
+	}()
 	if conf.Fleet != nil {
 		r.kept = fleet.Open(conf.State, newInstance(), fleet.File{Raw: conf.settings, Set: set})
 		r.look()
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -126,7 +126,10 @@
 			if r.recount {
 				r.excluded, r.recount = r.chooser.Excluded(), false
 			}
-			r.figures.hold(len(r.held), len(r.hosts), r.excluded)
+			r.figures.hold(len(r.held)+r.overflow.len(), len(r.hosts), r.excluded)
+			if r.overflow != nil {
+				r.figures.waiting(r.overflow)
+			}
 		}
 		var again <-chan struct{}
 		if len(r.events) > 0 { // the step left some; nothing else may come in for long
@@ -135,16 +138,20 @@
 			r.heirConn = nil
 			r.handOver(conn)
 			r.takeDeferred()
+		} else if r.overflow.unfinished() {
+			again = atOnce
 		}
 		select {
 		case f := <-r.inbox:
 			f()
 		case <-r.wake.C:
 			r.woken = true
+		case <-r.overflow.tick():
 		case <-again:
 		case <-r.quit:
 			r.lastWord()
 			r.flush()
+			r.overflow.shut()
 			return
 		}
 		for n := 1; n < batchMost; n++ {
--- a/internal/relay/step.go
+++ b/internal/relay/step.go
@@ -17,6 +17,7 @@
 		r.events = nil
 		return
 	}
+	r.putFresh()
 	if r.stopped {
 		r.events = nil
 		for _, m := range r.fresh {
@@ -26,6 +27,7 @@
 		r.flush()
 		return
 	}
+	r.bring()
 	if r.woken {
 		r.events = append(r.events, choice.Woken{})
 	}
@@ -115,6 +117,7 @@
 	r.figures.ended(m.Class, refusedEnd)
 	m.over = true
 	delete(r.held, m.ID)
+	r.overflow.leave(m, r.now())
 	m.answer(answer{status: http.StatusServiceUnavailable, after: after, text: "refused"})
 }
 
@@ -230,6 +233,7 @@
 		}
 		r.figures.ended(m.Class, how)
 		r.record(journal.Record{Op: journal.OpEnd, ID: m.ID})
+		m.served = how == servedEnd
 		r.drop(m)
 		return
 	}
