--- a/internal/relay/bring.go
+++ b/internal/relay/bring.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"log/slog"
+	"slices"
 	"time"
 
 	"larchrouter/internal/backlog"
@@ -37,24 +38,27 @@
 			return
 		}
 	}
-	if r.handIn(); len(o.moved) > 0 {
-		o.rest = now + sweepEach
-		return
-	}
+	r.handIn()
 	o.sweep(now)
 	left := moveMost
 	if r.mayEnd() {
-		hs, err := o.store.Due(time.Now().Add(r.chooser.LastLook()).UnixMilli(), left)
+		hs, err := o.store.Due(time.Now().Add(r.chooser.LastLook()).UnixMilli(), left+len(o.moved))
 		if err != nil {
 			r.cannotRead("backlog not read", err, comeBack)
 			return
 		}
+		hs = slices.DeleteFunc(hs, func(h backlog.Held) bool {
+			return slices.ContainsFunc(o.moved, func(m *moved) bool { return m.entry.ID == h.ID })
+		})
 		left -= len(hs)
-		o.more = left == 0
+		o.more = left <= 0
 		if !r.move(hs) {
 			return
 		}
 	}
+	if len(o.moved) > 0 { // nothing goes off the disk: only what must end comes in
+		return
+	}
 	for n := 0; left > 0 && n < lookMost && len(o.look) > 0; n++ {
 		dest := o.next()
 		room := o.room(dest, now, r.journal.Crowded())
@@ -108,6 +112,7 @@
 func (r *Relay) move(hs []backlog.Held) bool {
 	o := r.overflow
 	var recs []journal.Record
+	var fresh []*moved
 	size := 0
 	for i, h := range hs {
 		if size += len(h.Data); i > 0 && size > moveBytes {
@@ -123,10 +128,11 @@
 		if !known {
 			recs = append(recs, journal.Record{Op: journal.OpTaken, Entry: e})
 		}
-		o.moved = append(o.moved, &moved{entry: e, place: h.Place, known: known})
+		fresh = append(fresh, &moved{entry: e, place: h.Place, known: known})
 	}
+	o.moved = append(o.moved, fresh...)
 	if err := r.journal.Append(recs...); err != nil {
-		o.moved = nil
+		o.moved = slices.DeleteFunc(o.moved, func(m *moved) bool { return slices.Contains(fresh, m) })
 		if wait := comeBack; errors.Is(err, journal.ErrFull) {
 			o.rest, o.more = r.now()+sweepEach/10, false
 		} else {
@@ -135,24 +141,23 @@
 		return false
 	}
 	r.handIn()
-	return len(o.moved) == 0
+	return true
 }
 
 // handIn gives the decisions what the journal has and the disk has no more. One that the decisions had before could end in the
 // journal and come back from disk, so they wait; but not past their time: then they end as untried ones either way.
 func (r *Relay) handIn() {
 	o := r.overflow
-	of := map[int][]uint64{}
+	of, failed, now := map[int][]uint64{}, map[int]bool{}, r.now()
 	for _, m := range o.moved {
-		if m.place > 0 {
+		if failed[m.entry.Dest] = now < o.retry; m.place > 0 && now >= o.retry {
 			of[m.entry.Dest] = append(of[m.entry.Dest], m.place)
 		}
 	}
-	failed := map[int]bool{}
 	for dest, places := range of {
 		if err := o.store.Out(dest, places...); err != nil {
 			slog.Error("messages not taken off the disk", "messages", len(places), "err", err, "remedy", remedy.Of(err))
-			failed[dest] = true
+			failed[dest], o.retry = true, now+sweepEach
 		}
 	}
 	last := time.Now().Add(r.chooser.LastLook()).UnixMilli()
--- a/internal/relay/overflow.go
+++ b/internal/relay/overflow.go
@@ -52,6 +52,7 @@
 	served  map[int]time.Duration // when a destination last took a message
 	swept   time.Duration
 	rest    time.Duration // until then nothing is read: it failed
+	retry   time.Duration // until then nothing is taken off: it failed
 	timer   *time.Timer
 	more    bool // there is more to do than one turn did
 	fenced  bool // older versions do not start on the folder
@@ -75,7 +76,13 @@
 	if o == nil || o.store == nil {
 		return 0
 	}
-	return max(0, o.store.Len()-len(o.moved)) + len(o.fresh)
+	n := o.store.Len() + len(o.fresh)
+	for _, m := range o.moved {
+		if m.known && m.place > 0 {
+			n--
+		}
+	}
+	return n
 }
 
 // broken tells whether it is not known what lies on disk.
