--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -141,7 +141,9 @@
 		if cerr := w.recorder.Close(); cerr != nil && err == nil {
 			err = fmt.Errorf("history: %w", cerr)
 		}
-		if err == nil {
+		if err == nil { // the table of a run that is watched is still drawn
+			checks.Lock()
+			defer checks.Unlock()
 			result = w.result(late())
 		}
 	}()
--- a/internal/lab/platform/draw.go
+++ b/internal/lab/platform/draw.go
@@ -118,6 +118,7 @@
 	Source    string          `json:"source"` // that the relay sends from
 	Seed      string          `json:"seed"`
 	Fleet     map[string]any  `json:"fleet,omitempty"`
+	Backlog   map[string]any  `json:"backlog,omitempty"`
 	Limits    map[string]any  `json:"limits"`
 	Known     json.RawMessage `json:"known"`
 	Settings  map[string]any  `json:"settings"`
@@ -143,10 +144,12 @@
 		busy += total * v.Share * v.Median * math.Exp(v.Sigma*v.Sigma/2)
 	}
 	n := float64(s.Fleet.Relays)
+	// Messages held are bounded by memory, those on disk as well by that: a message of the load takes 500 to 700 bytes there.
+	held := max(32, int(total/n*8), int(s.Fleet.BacklogMB*1e6/500))
 	fees := make([]float64, len(s.Fleet.Zones))
 	return map[string]any{
 		"bounds": map[string]any{"cancel": true, "conn-idle": 10.0, "cpu-us-per-request": 0.0, "cpu-us-per-s": 500000, "dial-timeout": 1.5,
-			"max-attempts": 8, "max-retry-after": 3.0, "most-held": max(32, int(total/n*8)), "peers": false, "probes": false,
+			"max-attempts": 8, "max-retry-after": 3.0, "most-held": held, "peers": false, "probes": false,
 			"retry-after": true, "second-copies": false, "streams-per-conn": 1},
 		"classes": classes, "client-habits": map[string]any{"marks-retry": false}, "domain-type": "deliver",
 		"family-info": map[string]any{"late": "halving", "own-limits": own, "per-call": per, "workers": max(8, int(busy/n*2.5)+4),
--- a/internal/lab/relay.go
+++ b/internal/lab/relay.go
@@ -80,6 +80,9 @@
 	r.config = platform.Config{Name: r.name, Listen: r.listen, Discovery: discovery, Source: ip, Seed: fmt.Sprintf("%016x", w.scenario.Seed*1000003+uint64(index)),
 		Limits:   map[string]any{"cores": f.Cores, "memory_mb": f.MemoryMB, "sockets": f.Sockets, "disk_mb": f.DiskMB},
 		Settings: w.draw.Settings(w.scenario, index)}
+	if f.BacklogMB > 0 {
+		r.config.Backlog = map[string]any{"disk_mb": f.BacklogMB}
+	}
 	if w.parties != nil {
 		if err := w.parties.add(r.name, ip, r.listen); err != nil {
 			return nil, err
--- a/internal/lab/scenario/check.go
+++ b/internal/lab/scenario/check.go
@@ -44,6 +44,13 @@
 	within("fleet.memory-mb", s.Fleet.MemoryMB, 8, 1<<20)
 	within("fleet.sockets", float64(s.Fleet.Sockets), 32, 1<<20)
 	within("fleet.disk-mb", s.Fleet.DiskMB, 0.1, 1<<20)
+	within("fleet.backlog-mb", s.Fleet.BacklogMB, 0, 1<<20)
+	if s.Fleet.BacklogMB > 0 && s.Fleet.BacklogMB+1 > s.Fleet.DiskMB {
+		bad("fleet.backlog-mb", "is %g of disk-mb %g, and the journal needs 1 at least", s.Fleet.BacklogMB, s.Fleet.DiskMB)
+	}
+	if s.Fleet.BacklogMB > 0 && s.Fleet.Copies > 0 {
+		bad("fleet.backlog-mb", "does not go with fleet.copies: holders would not have what lies on disk")
+	}
 	within("fleet.cores", s.Fleet.Cores, 0.05, 1024)
 	within("platform.destinations", float64(s.Platform.Destinations), 1, 1000)
 	within("platform.endpoints", float64(s.Platform.Endpoints), 1, 100)
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -58,7 +58,9 @@
 	MemoryMB float64  `toml:"memory-mb"` // limits of each relay
 	Sockets  int      `toml:"sockets"`
 	DiskMB   float64  `toml:"disk-mb"`
-	Cores    float64  `toml:"cores"`
+	// BacklogMB is what messages that wait may take of the disk; 0 for a relay that keeps none there.
+	BacklogMB float64 `toml:"backlog-mb"`
+	Cores     float64 `toml:"cores"`
 }
 
 // Platform bounds what the seed draws of the partners.
--- a/internal/relay/backlog_start_test.go
+++ b/internal/relay/backlog_start_test.go
@@ -89,6 +89,7 @@
 	}
 	shows(t, r, "svc.in_flight=0")
 }
+
 // Guards against a stop that waits for what lies on disk, and against its loss by that.
 func TestStopLeavesTheBacklogOnDisk(t *testing.T) {
 	ps := newPartners(t)
