--- a/internal/journal/compact.go
+++ b/internal/journal/compact.go
@@ -13,7 +13,7 @@
 	order := j.order[:0:0]
 	for e := range j.All() {
 		buf = frame(buf, Record{Op: OpTaken, Entry: e})
-		order = append(order, place{e.ID, e.place})
+		order = append(order, place{e.ID, e.seq})
 	}
 	for id, h := range j.unwell {
 		if time.Since(time.UnixMilli(h.At)) > forgetUnwell { // its host may be gone from the list since
@@ -48,17 +48,17 @@
 			return onDisk("it could not be written anew", err)
 		}
 	}
-	f, err := os.OpenFile(j.path+".tmp", os.O_CREATE|os.O_TRUNC|os.O_RDWR, 0o600)
+	f, err := os.OpenFile(j.path+".next", os.O_CREATE|os.O_TRUNC|os.O_RDWR, 0o600)
 	if err != nil {
 		return onDisk("it could not be written anew", err)
 	}
 	_, err = f.Write(buf)
 	if err == nil {
-		err = os.Rename(j.path+".tmp", j.path)
+		err = os.Rename(j.path+".next", j.path)
 	}
 	if err != nil {
 		f.Close()
-		os.Remove(j.path + ".tmp")
+		os.Remove(j.path + ".next")
 		return onDisk("it could not be written anew", err)
 	}
 	if j.f != nil {
@@ -78,7 +78,7 @@
 func (j *Journal) All() iter.Seq[*Entry] {
 	return func(yield func(*Entry) bool) {
 		for _, p := range j.order {
-			if e := j.entries[p.id]; e != nil && e.place == p.n && !yield(e) {
+			if e := j.entries[p.id]; e != nil && e.seq == p.n && !yield(e) {
 				return
 			}
 		}
@@ -94,6 +94,9 @@
 // Len is how many messages are held.
 func (j *Journal) Len() int { return len(j.entries) }
 
+// Crowded tells whether what is held takes three eighths of the budget: the file and its copy need half of what is left, too.
+func (j *Journal) Crowded() bool { return 8*j.live > 3*j.budget }
+
 // Size is the length of the file in bytes.
 func (j *Journal) Size() int64 { return j.size }
 
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -84,7 +84,10 @@
 func Open(dir string, budget int64) (*Journal, error) {
 	j := empty(filepath.Join(dir, "journal"), budget-4*blockSize)
 	// A leftover copy is of a compaction that a kill cut short: the old file still holds all.
-	if err := os.Remove(j.path + ".tmp"); err != nil && !errors.Is(err, os.ErrNotExist) {
+	if err := os.Remove(j.path + ".next"); err != nil && !errors.Is(err, os.ErrNotExist) {
+		return nil, err
+	}
+	if err := unfenced(filepath.Join(dir, oldNext)); err != nil {
 		return nil, err
 	}
 	data, err := os.ReadFile(j.path)
@@ -163,8 +166,8 @@
 		j.live += e.size
 		j.entries[e.ID] = e
 		j.places++
-		e.place = j.places
-		j.order = append(j.order, place{e.ID, e.place})
+		e.seq = j.places
+		j.order = append(j.order, place{e.ID, e.seq})
 	case e == nil:
 	case r.Op == OpTry:
 		e.Tries++
