link: a share of what is sent comes a retransmission later

Loss that resets the connection is the end of it; what TCP makes of a lost segment is time, for it and for all behind it. Links between regions need that. Faults takes the share and the time; without them nothing changes.

--- a/internal/lab/link/link.go
+++ b/internal/lab/link/link.go
@@ -28,6 +28,8 @@
 	Spread    time.Duration // by chance as much as this longer
 	Rate      int64         // bytes a second; 0 for no limit
 	Loss      float64       // share of what is sent at a time that is lost; a connection is reset by it
+	Resent    float64       // share of what is sent at a time that TCP has to send again ...
+	ResentIn  time.Duration // ... and that comes so much later, with all behind it
 	HalfOpen  bool          // the end of a connection is not told
 	LateClose time.Duration // the end of a connection is told so much later
 }
@@ -39,7 +41,7 @@
 	}
 	both := Faults{Cut: f.Cut || g.Cut, Refused: f.Refused || g.Refused, Reset: f.Reset || g.Reset, ResetAt: f.ResetAt + g.ResetAt,
 		Delay: max(f.Delay, g.Delay), Spread: max(f.Spread, g.Spread), Rate: min(f.Rate, g.Rate), Loss: max(f.Loss, g.Loss),
-		HalfOpen: f.HalfOpen || g.HalfOpen, LateClose: max(f.LateClose, g.LateClose)}
+		Resent: max(f.Resent, g.Resent), ResentIn: max(f.ResentIn, g.ResentIn), HalfOpen: f.HalfOpen || g.HalfOpen, LateClose: max(f.LateClose, g.LateClose)}
 	if f.Rate == 0 || g.Rate == 0 {
 		both.Rate = max(f.Rate, g.Rate)
 	}
--- a/internal/lab/link/queue.go
+++ b/internal/lab/link/queue.go
@@ -69,6 +69,9 @@
 	if f.Delay > 0 || f.Spread > 0 {
 		c.due = c.due.Add(f.Delay + time.Duration(rand.Float64()*float64(f.Spread)))
 	}
+	if f.Resent > 0 && rand.Float64() < f.Resent {
+		c.due = c.due.Add(f.ResentIn)
+	}
 	if f.Rate > 0 {
 		from := q.last
 		if from.Before(c.due) {
