hollow: a fleet of members without message paths against real keepers in three regions

It asserts rules only. Seen to fail (three generations in use) with keepers that wait for one member's word only.

--- /dev/null
+++ b/internal/hollow/keepers_test.go
@@ -0,0 +1,169 @@
+package hollow
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"larchrouter/internal/keeper/api"
+	"larchrouter/internal/lab/link"
+	"larchrouter/internal/lab/proc"
+)
+
+// regions of the keepers, by how many there are.
+var keeperRegions = map[int][]int{1: {0}, 3: {0, 1, 2}, 5: {0, 0, 1, 1, 2}}
+
+// keepers are the processes of cmd/larchkeeper, and the network between them.
+type keepers struct {
+	t    testing.TB
+	wan  *WAN
+	up   []*proc.Process
+	used []time.Duration // processor time of processes that were killed
+	dir  string
+	call *api.Client  // of the operators
+	from atomic.Int64 // the region that they call from
+}
+
+// newKeepers starts as many keepers, each at a loopback address of its own, which others reach through links.
+func newKeepers(t testing.TB, dir string, n int, lease time.Duration, distances [][]Distance) *keepers {
+	t.Helper()
+	k := &keepers{t: t, dir: dir, up: make([]*proc.Process, n), used: make([]time.Duration, n)}
+	bin := filepath.Join(dir, "larchkeeper")
+	if out, err := exec.Command("go", "build", "-o", bin, "larchrouter/cmd/larchkeeper").CombinedOutput(); err != nil {
+		t.Fatalf("%v\n%s", err, out)
+	}
+	var all []Keeper
+	for i, r := range keeperRegions[n] {
+		all = append(all, Keeper{Region: r, HTTP: k.ip(i) + ":7400"})
+	}
+	k.wan = NewWAN(all, distances)
+	t.Cleanup(k.wan.Net.Close)
+	var mu sync.Mutex
+	by := map[string]*link.Shared{}
+	who := func(ip string) *link.Shared {
+		mu.Lock()
+		defer mu.Unlock()
+		return by[ip]
+	}
+	share := func(i, port int) *link.Shared {
+		s, err := k.wan.Net.Share(name(i), k.ip(i), fmt.Sprintf("%s:%d", k.ip(i), port), who)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(s.Close)
+		return s
+	}
+	type peer struct {
+		Name string `toml:"name"`
+		HTTP string `toml:"http"`
+		Raft string `toml:"raft"`
+	}
+	var peers []peer
+	for i := range all {
+		front := share(i, 7400)
+		mu.Lock()
+		by[k.ip(i)], all[i].Front = front, front.Addr
+		mu.Unlock()
+		peers = append(peers, peer{name(i), front.Addr, share(i, 7600).Addr})
+	}
+	for i := range all {
+		for j := range all {
+			if i != j {
+				k.wan.Apart(k.wan.Net.Link(name(i), name(j)), all[i].Region, all[j].Region)
+			}
+		}
+		data, err := toml.Marshal(map[string]any{"name": name(i), "http": all[i].HTTP, "raft": k.ip(i) + ":7600", "source": k.ip(i),
+			"dir": filepath.Join(dir, fmt.Sprint("state-", i)), "lease": lease.String(), "peer": peers})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := os.WriteFile(k.config(i), data, 0o644); err != nil {
+			t.Fatal(err)
+		}
+		k.start(i)
+	}
+	k.call = &api.Client{HTTP: &http.Client{Transport: &http.Transport{DisableKeepAlives: true,
+		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			return k.wan.Dial(int(k.from.Load()))(ctx, network, addr)
+		}}}}
+	for _, a := range all {
+		k.call.Keepers = append(k.call.Keepers, a.Front)
+	}
+	t.Cleanup(func() {
+		for _, p := range k.up {
+			p.Kill()
+		}
+	})
+	return k
+}
+
+// ip is a loopback address that no other run's keeper has.
+func (k *keepers) ip(i int) string {
+	return fmt.Sprintf("127.%d.%d.%d", 64+os.Getpid()>>8%64, 1+os.Getpid()&0xff%250, 10+i)
+}
+
+func (k *keepers) config(i int) string { return filepath.Join(k.dir, fmt.Sprintf("keeper-%d.toml", i)) }
+
+func (k *keepers) start(i int) {
+	k.t.Helper()
+	p, err := proc.Start(proc.Spec{Name: name(i), Command: fmt.Sprintf("exec %s --config %s", filepath.Join(k.dir, "larchkeeper"), k.config(i)),
+		Dir: k.dir, Log: filepath.Join(k.dir, fmt.Sprintf("keeper-%d.log", i))}, func(p *proc.Process) {
+		if !p.Expected() {
+			k.t.Errorf("%s ended: %v", p.Name, p.Err())
+		}
+	})
+	if err != nil {
+		k.t.Fatal(err)
+	}
+	k.up[i] = p
+}
+
+// kill ends a keeper's process as a machine's loss does.
+func (k *keepers) kill(i int) {
+	if u, err := k.up[i].Usage(); err == nil {
+		k.used[i] += u.CPU
+	}
+	k.up[i].Signal(syscall.SIGKILL, true)
+	<-k.up[i].Done()
+}
+
+// cut cuts a region's keepers and operators off from the others, or mends that.
+func (k *keepers) cut(region int, on bool) {
+	k.wan.Cut(region, on)
+	for i, a := range k.wan.Keepers {
+		for j, b := range k.wan.Keepers {
+			if (a.Region == region) != (b.Region == region) {
+				Sever(k.wan.Net.Link(name(i), name(j)), on)
+			}
+		}
+	}
+}
+
+// leads is the keeper that leads; waits until there is one.
+func (k *keepers) leads() int {
+	k.t.Helper()
+	for end := time.Now().Add(time.Minute); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		for i, a := range k.wan.Keepers {
+			var st api.Status
+			ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+			err := k.call.Ask(ctx, a.Front, http.MethodGet, api.StatusPath, nil, &st)
+			cancel()
+			if err == nil && st.Leads {
+				return i
+			}
+		}
+	}
+	k.t.Fatal("no keeper leads")
+	return 0
+}
--- /dev/null
+++ b/internal/hollow/member.go
@@ -0,0 +1,139 @@
+package hollow
+
+import (
+	"context"
+	"crypto/rand"
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+	"unsafe"
+
+	"larchrouter/internal/discovery"
+	"larchrouter/internal/fleet"
+	"larchrouter/internal/fleet/hold"
+	"larchrouter/internal/keeper/api"
+)
+
+// Clock is the machine's monotonic clock (CLOCK_MONOTONIC), which all processes share, so that what they say can be put in order.
+func Clock() time.Duration {
+	var ts syscall.Timespec
+	const monotonic = 1
+	syscall.Syscall(syscall.SYS_CLOCK_GETTIME, monotonic, uintptr(unsafe.Pointer(&ts)), 0)
+	return time.Duration(ts.Nano())
+}
+
+// member is a relay's part in the agreement, and nothing else of it.
+type member struct {
+	number int
+	region int
+	fleet  int // members
+	dir    string
+	file   fleet.File
+	wan    *WAN
+	list   discovery.List
+	tell   func(Act)
+
+	mu   sync.Mutex // in place of the relay's loop
+	kept *fleet.Kept
+	last hold.Acts
+	end  time.Duration // of the lease
+	wake *time.Timer   // at that time
+	stop context.CancelFunc
+	done chan struct{}
+}
+
+// start begins a process of the member.
+func (m *member) start() error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.stop != nil {
+		return fmt.Errorf("member %d runs already", m.number)
+	}
+	k := fleet.Open(m.dir, rand.Text()[:16], m.file)
+	if err := k.Sign(); err != nil {
+		return err
+	}
+	conns := &http.Transport{DisableCompression: true, IdleConnTimeout: time.Minute, DialContext: m.wan.Dial(m.region),
+		MaxIdleConnsPerHost: 2, MaxConnsPerHost: 2}
+	c := &api.Client{HTTP: &http.Client{Transport: conns}}
+	for _, k := range m.wan.Keepers {
+		c.Keepers = append(c.Keepers, k.Front)
+	}
+	s := &fleet.Session{Client: c, Name: fmt.Sprintf("relay/%d", m.number), Zone: fmt.Sprintf("region-%d", m.region), Seed: uint64(m.number),
+		Instance: k.Instance, Before: k.Before, Fleet: func() int { return m.fleet }, Now: Clock}
+	s.Hear = func(h fleet.Heard) (have []uint64, w fleet.Word, ok bool) { return m.hear(k, h) }
+	m.kept, m.last, m.end = k, hold.Acts{Mode: Gone}, 0
+	ctx, stop := context.WithCancel(context.Background())
+	m.stop, m.done = stop, make(chan struct{})
+	m.look()
+	go func() {
+		defer close(m.done)
+		s.Run(ctx)
+		conns.CloseIdleConnections()
+	}()
+	return nil
+}
+
+// kill ends the process of the member, without a word to anybody.
+func (m *member) kill() {
+	m.mu.Lock()
+	if m.stop == nil {
+		m.mu.Unlock()
+		return
+	}
+	stop, done := m.stop, m.done
+	m.look()
+	m.kept, m.stop = nil, nil
+	if m.wake != nil {
+		m.wake.Stop()
+	}
+	m.tell(Act{At: Clock(), Member: m.number, Mode: Gone})
+	m.mu.Unlock()
+	stop()
+	<-done
+}
+
+// hear takes in an answer of the keepers, as a relay's loop does.
+func (m *member) hear(k *fleet.Kept, h fleet.Heard) (have []uint64, w fleet.Word, ok bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.kept != k { // it was killed meanwhile
+		return nil, fleet.Word{}, false
+	}
+	m.look() // what it acted by until now may have ended before
+	w, err := k.Hear(Clock(), h.Asked, h.Standing)
+	m.look()
+	return slices.Clone(k.Have()), w, err == nil
+}
+
+// look has the member act by what it may act by now. The lock is held.
+func (m *member) look() {
+	if m.kept == nil {
+		return
+	}
+	now := Clock()
+	_, changed := m.kept.Look(now)
+	if acts := m.kept.Acting(); changed || m.last.Mode == Gone {
+		at := now
+		if acts.Mode == hold.Fallback && m.end > 0 { // nothing has gone out by the lease since it ended
+			at = min(at, m.end)
+		}
+		m.last = acts
+		m.tell(Act{At: at, Member: m.number, Mode: acts.Mode, Force: acts.Force, Next: acts.Next})
+	}
+	left := m.kept.Left(now)
+	if end := now + left; left > 0 && end != m.end {
+		m.end = end
+		if m.wake != nil {
+			m.wake.Stop()
+		}
+		m.wake = time.AfterFunc(left, func() {
+			m.mu.Lock()
+			defer m.mu.Unlock()
+			m.look()
+		})
+	}
+}
