keeper: the confirmations of a whole fleet go in few messages of the log

Between regions a change took 12 s and more at 2,000 members: each turn has 2,000 confirmations, they went to the other keepers in messages of 64, two of them on their way at a time, and each takes as long as regions are apart. A message now takes 1,024. The test fails with messages of 64 (33 of them). The play gets flags for the keepers' program, and for the members' folders: on one disk their renames hold up the keepers' syncs.

--- a/internal/hollow/hollow_test.go
+++ b/internal/hollow/hollow_test.go
@@ -26,6 +26,8 @@
 	flagBurst     = flag.Int("hollow.burst", 4, "changes of a burst")
 	flagDoc       = flag.Int("hollow.document", 4096, "bytes of a change's document")
 	flagList      = flag.Int("hollow.list", 380, "endpoints on each member's list")
+	flagKeeper    = flag.String("hollow.keeper", "", "program of the keepers; empty for one that is built")
+	flagFolders   = flag.String("hollow.folders", "", "folder of the members' folders, in memory best for many: on one disk they hold keepers up that share it")
 	flagParts     = flag.String("hollow.parts", "day burst leader rack region", "of the play, in their order")
 	flagSeed      = flag.Uint64("hollow.seed", 1, "by which members are chosen")
 )
--- a/internal/hollow/keepers_test.go
+++ b/internal/hollow/keepers_test.go
@@ -31,6 +31,7 @@
 	up   []*proc.Process
 	used []time.Duration // processor time of processes that were killed
 	dir  string
+	bin  string       // the program
 	call *api.Client  // of the operators
 	from atomic.Int64 // the region that they call from
 }
@@ -39,9 +40,11 @@
 func newKeepers(t testing.TB, dir string, n int, lease time.Duration, distances [][]Distance) *keepers {
 	t.Helper()
 	k := &keepers{t: t, dir: dir, up: make([]*proc.Process, n), used: make([]time.Duration, n)}
-	bin := filepath.Join(dir, "larchkeeper")
-	if out, err := exec.Command("go", "build", "-o", bin, "larchrouter/cmd/larchkeeper").CombinedOutput(); err != nil {
-		t.Fatalf("%v\n%s", err, out)
+	if k.bin = *flagKeeper; k.bin == "" {
+		k.bin = filepath.Join(dir, "larchkeeper")
+		if out, err := exec.Command("go", "build", "-o", k.bin, "larchrouter/cmd/larchkeeper").CombinedOutput(); err != nil {
+			t.Fatalf("%v\n%s", err, out)
+		}
 	}
 	var all []Keeper
 	for i, r := range keeperRegions[n] {
@@ -117,7 +120,7 @@
 
 func (k *keepers) start(i int) {
 	k.t.Helper()
-	p, err := proc.Start(proc.Spec{Name: name(i), Command: fmt.Sprintf("exec %s --config %s", filepath.Join(k.dir, "larchkeeper"), k.config(i)),
+	p, err := proc.Start(proc.Spec{Name: name(i), Command: fmt.Sprintf("exec %s --config %s", k.bin, k.config(i)),
 		Dir: k.dir, Log: filepath.Join(k.dir, fmt.Sprintf("keeper-%d.log", i))}, func(p *proc.Process) {
 		if !p.Expected() {
 			k.t.Errorf("%s ended: %v", p.Name, p.Err())
--- a/internal/hollow/player_test.go
+++ b/internal/hollow/player_test.go
@@ -1,6 +1,7 @@
 package hollow
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -88,7 +89,12 @@
 		t.Fatal(err)
 	}
 	defer l.Close()
-	s := Share{Player: l.Addr().String(), Dir: filepath.Join(k.dir, "members"), Fleet: members, Keepers: k.wan.Keepers, Distances: k.wan.Distances,
+	folders, err := os.MkdirTemp(cmp.Or(*flagFolders, k.dir), "members-")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { os.RemoveAll(folders) })
+	s := Share{Player: l.Addr().String(), Dir: folders, Fleet: members, Keepers: k.wan.Keepers, Distances: k.wan.Distances,
 		Settings: document(0, docBytes), List: discovery.List{Version: 1, Full: true}}
 	for i := range listed {
 		s.List.Servers = append(s.List.Servers, discovery.Server{ID: fmt.Sprintf("endpoint-%06d", i), Addr: fmt.Sprintf("10.0.%d.%d:443", i>>8, i&0xff),
--- a/internal/keeper/store.go
+++ b/internal/keeper/store.go
@@ -133,7 +133,9 @@
 	r.CommitTimeout = min(r.CommitTimeout, election/10)
 	r.SnapshotThreshold, r.TrailingLogs = snapshotAfter, trailing
 	r.SnapshotInterval = 30 * time.Second
-	r.MaxAppendEntries = 64
+	// A turn's confirmations, of thousands of members, go in a message or two: the library has two on their way at the most, so
+	// each further one costs as long as the keepers' regions are apart. 1024 is the most that it takes.
+	r.MaxAppendEntries = 1024
 	r.Logger = logger()
 	return r
 }
