--- a/internal/keeper/cost_test.go
+++ b/internal/keeper/cost_test.go
@@ -47,7 +47,7 @@
 	all     sync.WaitGroup
 }
 
-func newCrowd(b *testing.B, keepers, members int) *crowd {
+func newCrowd(b testing.TB, keepers, members int) *crowd {
 	b.Helper()
 	level := slog.SetLogLoggerLevel(slog.LevelError)
 	old := slog.Default()
@@ -121,7 +121,7 @@
 }
 
 // until waits until the keeper that leads says that something holds.
-func (c *crowd) until(b *testing.B, holds func(*api.Status) bool) {
+func (c *crowd) until(b testing.TB, holds func(*api.Status) bool) {
 	b.Helper()
 	for end := time.Now().Add(2 * time.Minute); ; time.Sleep(2 * time.Millisecond) {
 		for _, k := range c.keepers {
@@ -138,7 +138,7 @@
 	}
 }
 
-func processorTime(b *testing.B) time.Duration {
+func processorTime(b testing.TB) time.Duration {
 	b.Helper()
 	var u syscall.Rusage
 	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
