choice: those that wait for a destination lie in a row

The containers are played beside a plain slice (rapid), and that test fails with the places not kept, the last link or the heap not mended.

--- a/choice/answers.go
+++ b/choice/answers.go
@@ -154,7 +154,10 @@
 		var worst *message
 		least := math.Inf(1)
 		for d := range c.live.each {
-			for m := d.waiting.first; m != nil; m = m.inWaiting.next {
+			for _, m := range d.waiting.all {
+				if m == nil {
+					continue
+				}
 				w := c.worth(m, c.now) / float64(d.waiting.n)
 				// What a restart finds untried was taken on for good: what comes is turned away instead.
 				untried := m.restored && m.attempts == 0
--- a/choice/index.go
+++ b/choice/index.go
@@ -58,6 +58,41 @@
 	}
 }
 
+// row is a slice whose elements know their places in it, counted from 1; 0 is outside. What leaves is nil until more than
+// half is: it is faster to walk than a chain.
+type row[T any] struct {
+	all   []*T
+	n     int
+	place func(*T) *int
+}
+
+func (r *row[T]) add(x *T) {
+	r.all, r.n = append(r.all, x), r.n+1
+	*r.place(x) = len(r.all)
+}
+
+// drop takes an element out; one that is not in stays out.
+func (r *row[T]) drop(x *T) {
+	p := r.place(x)
+	if *p == 0 {
+		return
+	}
+	r.all[*p-1], *p, r.n = nil, 0, r.n-1
+	if len(r.all) > 2*r.n {
+		left := r.all[:0]
+		for _, x := range r.all {
+			if x != nil {
+				left = append(left, x)
+				*r.place(x) = len(left)
+			}
+		}
+		clear(r.all[len(left):])
+		if r.all = left; cap(left) > 64 && cap(left) > 8*len(left) { // or what was needed once stays
+			r.all = append([]*T(nil), left...)
+		}
+	}
+}
+
 // sorted is a binary heap whose elements know their places in it, counted from 1; 0 is outside.
 type sorted[T any] struct {
 	all    []T
--- a/choice/known.go
+++ b/choice/known.go
@@ -53,7 +53,7 @@
 	if d == nil {
 		c.known++
 		d = &dest{id: id, kind: Kind{PerCall: 1}, luck: &c.luck[0], number: c.known,
-			waiting: chain[message]{of: func(m *message) *links[message] { return &m.inWaiting }}}
+			waiting: row[message]{place: func(m *message) *int { return &m.at }}}
 		d.table = table{width: c.bound / buckets, weight: 1}
 		c.dests[id] = d
 		c.order.add(d)
--- a/choice/parked.go
+++ b/choice/parked.go
@@ -62,17 +62,17 @@
 	d.seen = c.turns
 }
 
-// unblocked is the first of those that wait which may go to some endpoints for all that is known of earlier looks.
-func (c *Chooser) unblocked(d *dest, open []*host) *message {
+// unblocked are the last of those that wait, which may go to some endpoints for all that is known of earlier looks.
+func (c *Chooser) unblocked(d *dest, open []*host) []*message {
 	if c.now >= d.blocked || !slices.Equal(open, d.blockedAt) {
 		d.blocked = 0
-		return d.waiting.first
+		return d.waiting.all
 	}
-	var first *message
-	for m := d.waiting.last; m != nil && m.queued > d.blockedTo; m = m.inWaiting.prev {
-		first = m
+	from := len(d.waiting.all)
+	for from > 0 && (d.waiting.all[from-1] == nil || d.waiting.all[from-1].queued > d.blockedTo) {
+		from--
 	}
-	return first
+	return d.waiting.all[from:]
 }
 
 // block notes that none of those that wait may go to some endpoints now, and until when that holds for what fits and
@@ -81,11 +81,14 @@
 	if d.waiting.n == 0 {
 		return
 	}
-	m, until := c.unblocked(d, open), time.Duration(math.MaxInt64)
+	look, until := c.unblocked(d, open), time.Duration(math.MaxInt64)
 	if d.blocked > 0 {
 		until = d.blocked
 	}
-	for ; m != nil; m = m.inWaiting.next {
+	for _, m := range look {
+		if m == nil {
+			continue
+		}
 		if last := m.due - m.class.Deadline/4; m.class.Effect == Unsafe && last >= c.now {
 			until = min(until, last+1)
 		}
@@ -93,7 +96,7 @@
 			until = min(until, l.rest)
 		}
 	}
-	d.blocked, d.blockedTo, d.blockedAt = until, d.waiting.last.queued, append(d.blockedAt[:0], open...)
+	d.blocked, d.blockedTo, d.blockedAt = until, c.queued, append(d.blockedAt[:0], open...)
 }
 
 // wakeUp makes those active whose time has come.
--- a/choice/pick.go
+++ b/choice/pick.go
@@ -24,8 +24,8 @@
 }
 
 // best is the message that loses most by waiting, among those that a test lets through; what is
-// past its tenant's share comes after all that is not. It looks at those from one on.
-func (c *Chooser) best(d *dest, from *message, test func(*message) bool) *message {
+// past its tenant's share comes after all that is not. It looks at some of those that wait.
+func (c *Chooser) best(d *dest, among []*message, test func(*message) bool) *message {
 	rate := 0.0
 	for _, u := range d.units {
 		rate += u.served
@@ -37,8 +37,8 @@
 	wait = min(max(wait, c.minAim/8), 4*c.bound)
 	var best *message
 	most := math.Inf(-1)
-	for m := from; m != nil; m = m.inWaiting.next {
-		if best != nil && m.past && !best.past {
+	for _, m := range among {
+		if m == nil || best != nil && m.past && !best.past {
 			continue
 		}
 		loss := c.worth(m, c.now) - c.worth(m, c.now+wait)
--- a/choice/state.go
+++ b/choice/state.go
@@ -30,8 +30,8 @@
 	restored bool          // an earlier process took it on
 	// As it waits: its place among those of its destination and, while it is open, of its key; when it was
 	// queued, as a number; the time of its final answer, and its place by that.
-	inWaiting, inLine links[message]
-	queued, place     int
+	at, queued, place int
+	inLine            links[message]
 	until             time.Duration
 }
 
@@ -104,7 +104,7 @@
 	kind       Kind
 	hosts      []*host
 	units      []*unit
-	waiting    chain[message]
+	waiting    row[message]
 	out        int
 	lastTurn   time.Duration
 	table      table
--- a/choice/turn.go
+++ b/choice/turn.go
@@ -128,7 +128,7 @@
 	}
 	c.send(m, k)
 	for len(k.members) < d.kind.PerCall && u.state != suspect {
-		m := c.best(d, d.waiting.first, func(m *message) bool { return c.fits(m, h) })
+		m := c.best(d, d.waiting.all, func(m *message) bool { return c.fits(m, h) })
 		if m == nil {
 			break
 		}
