--- a/internal/estate/scale_test.go
+++ b/internal/estate/scale_test.go
@@ -7,8 +7,10 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"larchrouter/internal/estate/state"
 	"larchrouter/internal/journal"
@@ -75,8 +77,9 @@
 
 // stream begins a writer's stream whose whole copy is what is given, and waits until enough holders have it.
 func (c *copying) stream(epoch, next uint64, whole []journal.Record) *Stream {
-	s := NewStream(1, fmt.Sprint("w", epoch), next, c.http, func(context.Context) ([]journal.Record, uint64, bool) {
-		return append([]journal.Record(nil), whole...), next, true
+	var s *Stream
+	s = NewStream(1, fmt.Sprint("w", epoch), next, c.http, func(context.Context) ([]journal.Record, uint64, bool) {
+		return append([]journal.Record(nil), whole...), s.Next(), true // what passes leaves nothing behind
 	}, func() {
 		select {
 		case c.news <- struct{}{}:
@@ -90,6 +93,19 @@
 	return s
 }
 
+// end waits until all holders have what the stream has, and ends it: none writes to its folder any more.
+func (c *copying) end(s *Stream) {
+	behind := func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return slices.ContainsFunc(s.w.Followers, func(f *state.Follower) bool { return !f.Whole || f.Acked < s.w.Next })
+	}
+	for behind() {
+		time.Sleep(time.Millisecond)
+	}
+	s.Close()
+}
+
 // messages are records of so many messages that are held.
 func messages(n int) (recs []journal.Record) {
 	for i := range n {
@@ -116,7 +132,7 @@
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			c := newCopying(b, 16<<20)
 			s := c.stream(1, 1, nil)
-			defer s.Close()
+			defer c.end(s)
 			before, passed := c.m.bytes.Load(), 0
 			for b.Loop() {
 				c.pass(s, passed, n)
@@ -129,18 +145,20 @@
 }
 
 // BenchmarkScaleTakeUpByHeld is what an heir does between its naming and its first own record: promises of two holders of
-// three, the newest copy, and the whole to two of its holders. The bytes are both ways, and those of the third as far as they
-// went by then.
+// three, the newest copy, and the whole to two of its holders. The bytes are both ways, and those of the third too.
 func BenchmarkScaleTakeUpByHeld(b *testing.B) {
 	for _, n := range []int{100, 1_000, 4_000, 10_000} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			c := newCopying(b, 32<<20)
 			recs := messages(n)
-			c.stream(1, uint64(n+1), recs).Close()
+			c.end(c.stream(1, uint64(n+1), recs))
 			epoch, before := uint64(1), c.m.bytes.Load()
 			for b.Loop() {
 				epoch++
-				c.takeUp(epoch, n)
+				s := c.takeUp(epoch, n)
+				b.StopTimer()
+				c.end(s)
+				b.StartTimer()
 			}
 			b.ReportMetric(float64(c.m.bytes.Load()-before)/float64(b.N)/float64(n), "B/held")
 			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/float64(n), "ns/held")
@@ -148,13 +166,13 @@
 	}
 }
 
-func (c *copying) takeUp(epoch uint64, n int) {
+func (c *copying) takeUp(epoch uint64, n int) *Stream {
 	c.tb.Helper()
 	found, err := Find(context.Background(), c.http, Promise{Estate: 1, Epoch: epoch, Writer: fmt.Sprint("w", epoch)}, []state.Set{{Copies: 2, Holders: c.hs}})
 	if err != nil || found == nil || len(found.Records) != n {
 		c.tb.Fatalf("found %v, %v", found, err)
 	}
-	c.stream(epoch, found.Next, found.Records).Close()
+	return c.stream(epoch, found.Next, found.Records)
 }
 
 // Guards the benchmarks above: what is copied counts, an heir finds all of it, and the bytes are counted.
@@ -166,9 +184,9 @@
 		t.Errorf("%d bytes for two whole copies of 100 messages, want 80,000 at least", before)
 	}
 	c.pass(s, 0, 10)
-	s.Close()
+	c.end(s)
 	if n := c.m.bytes.Load() - before; n < 2*10*400 {
 		t.Errorf("%d bytes for 10 messages to two holders, want 8,000 at least", n)
 	}
-	c.takeUp(2, 100) // those that have ended are not found again
+	c.end(c.takeUp(2, 100)) // those that have ended are not found again
 }
--- a/internal/relay/scale_test.go
+++ b/internal/relay/scale_test.go
@@ -116,6 +116,18 @@
 	}
 }
 
+// settled is how many descriptors there are once those of a relay before this one have been closed.
+func settled(tb testing.TB) int {
+	for n := descriptors(tb); ; {
+		time.Sleep(200 * time.Millisecond)
+		now := descriptors(tb)
+		if now >= n {
+			return now
+		}
+		n = now
+	}
+}
+
 // BenchmarkScaleConnectionsByDestinations is what is kept after a call to each of so many destinations: descriptors of this
 // process, in which the endpoints are too, and bytes; and processor time a message that goes to one after the other.
 func BenchmarkScaleConnectionsByDestinations(b *testing.B) {
@@ -123,7 +135,7 @@
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			s := newSpread(b, n, roomy)
 			s.settle()
-			fds, before := descriptors(b), heldBytes()
+			fds, before := settled(b), heldBytes()
 			s.each()
 			held, kept := (heldBytes()-before)/float64(n), float64(descriptors(b)-fds)/2
 			measure(b, s.costRig, 1, s.serveNext)
