--- a/choice/scale_test.go
+++ b/choice/scale_test.go
@@ -13,7 +13,7 @@
 //	go test -run '^$' -bench Scale -benchtime 0.3s -count 3 ./choice
 
 // sizes are those of a benchmark; the last ones are left out with -short.
-func sizes(tb testing.TB, long int, all ...int) []int {
+func sizes(long int, all ...int) []int {
 	if testing.Short() {
 		return all[:len(all)-long]
 	}
@@ -67,7 +67,7 @@
 
 // BenchmarkScaleDecisionsByHeld is what one message costs the decisions while others wait that cannot go.
 func BenchmarkScaleDecisionsByHeld(b *testing.B) {
-	for _, n := range sizes(b, 2, 100, 1_000, 10_000, 100_000, 1_000_000) {
+	for _, n := range sizes(2, 100, 1_000, 10_000, 100_000, 1_000_000) {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			f, held, _ := scaled(b, 15, n)
 			for b.Loop() {
@@ -80,7 +80,7 @@
 
 // BenchmarkScaleDecisionsByKnown is what one message costs while other destinations are known, and what each of them takes.
 func BenchmarkScaleDecisionsByKnown(b *testing.B) {
-	for _, n := range sizes(b, 2, 1_000, 10_000, 100_000, 380_000) {
+	for _, n := range sizes(2, 1_000, 10_000, 100_000, 380_000) {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			f, _, known := scaled(b, n, 0)
 			for b.Loop() {
@@ -94,7 +94,7 @@
 // BenchmarkScaleDecisionsByCalled is what one message costs where each goes to the next of so many destinations, all of them
 // called before, and what a destination takes beyond what it does when it is known only.
 func BenchmarkScaleDecisionsByCalled(b *testing.B) {
-	for _, n := range sizes(b, 1, 100, 1_000, 10_000, 100_000) {
+	for _, n := range sizes(1, 100, 1_000, 10_000, 100_000) {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			f, _, _ := scaled(b, n+1, 0)
 			before := heapBytes()
@@ -122,7 +122,7 @@
 
 // BenchmarkScaleChangeByKnown is what news of one endpoint costs where so many destinations are known.
 func BenchmarkScaleChangeByKnown(b *testing.B) {
-	for _, n := range sizes(b, 2, 1_000, 10_000, 100_000, 380_000) {
+	for _, n := range sizes(2, 1_000, 10_000, 100_000, 380_000) {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			f, _, _ := scaled(b, n, 0)
 			for i := 0; b.Loop(); i++ {
@@ -153,7 +153,7 @@
 
 // BenchmarkScaleListByEndpoints is what a whole list of so many endpoints costs that says nothing new.
 func BenchmarkScaleListByEndpoints(b *testing.B) {
-	for _, n := range sizes(b, 1, 200, 2_000, 20_000, 200_000, 760_000) {
+	for _, n := range sizes(1, 200, 2_000, 20_000, 200_000, 760_000) {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			f, _, _ := scaled(b, n/2, 0)
 			hosts := make([]Host, n)
