backlog: the test of a page rid of stale slots is killed where an older page was

Before, the half-written copy was cut off at the file's end and not taken for a page; with the newer copy preferred on purpose the test now fails.

--- a/internal/backlog/table_test.go
+++ b/internal/backlog/table_test.go
@@ -90,18 +90,22 @@
 // Guards against a kill between the steps of a split that loses a slot or leaves one that misleads: four pages, and the old one
 // given up. Where most slots are needed no more, it is one page.
 func TestTableKilledAsItSplits(t *testing.T) {
-	t.Run("split", func(t *testing.T) { killSplits(t, 5, 1) })
-	t.Run("rid", func(t *testing.T) { killSplits(t, 2, 0) })
+	t.Run("split", func(t *testing.T) { killSplits(t, 5, 1, 0) })
+	t.Run("rid", func(t *testing.T) { killSplits(t, 2, 0, 1) })
 }
 
-// killSplits adds slots whose places are stale by 5 but for this rest, and every third, until a page is full.
-func killSplits(t *testing.T, steps, rest int) {
+// killSplits adds slots, of which two in three are stale if rest is zero, until a page is full for the first time after so many. The
+// second time it is written where an older one was, so that half of it is not cut off.
+func killSplits(t *testing.T, steps, rest, passed int) {
 	for at := range steps + 1 {
 		dir := t.TempDir()
 		tab := tableIn(t, dir, &killer{}, true)
-		n, killed := -1, false
+		n, killed, left := -1, false, passed
 		tab.d.fault = func(_, _ string, bytes int) (int, error) {
-			if n < 0 && bytes < pageSize {
+			if n < 0 && bytes == pageSize {
+				left--
+			}
+			if left >= 0 {
 				return bytes, nil
 			}
 			if n++; n < at || n >= steps {
