--- a/internal/backlog/fuzz_test.go
+++ b/internal/backlog/fuzz_test.go
@@ -113,6 +113,12 @@
 		f.Add(index[:state.Header+100], data, right)
 		f.Add(index, data[:60], right)
 	}
+	other := slices.Clone(index)
+	other[0]++
+	f.Add(other, data[:60], false) // a header that is damaged, and data that is cut
+	middle := slices.Clone(index)
+	middle[state.Header+state.Entry]++
+	f.Add(middle, data, false) // an entry that is damaged, with its frame there
 	f.Fuzz(func(t *testing.T, index, data []byte, right bool) {
 		if right {
 			index, data = seal(index, data, salt)
@@ -134,6 +140,7 @@
 	f.Add(table[:100])
 	f.Add([]byte{})
 	f.Add([]byte(strings.Repeat("x", pageSize)))
+	f.Add(append(slices.Clone(table[:slotSize]), strings.Repeat("x", pageSize-slotSize)...)) // a page of slots that are none
 	f.Fuzz(func(t *testing.T, table []byte) {
 		dir := t.TempDir()
 		for name, b := range map[string][]byte{"1-1.idx": index, "1-1.0.dat": data, tableName: table, versionName: versionText(salt)} {
