--- a/internal/relay/backlog_faults_test.go
+++ b/internal/relay/backlog_faults_test.go
@@ -217,3 +217,22 @@
 		t.Error(err)
 	}
 }
+
+// inLoop runs something in the loop.
+func inLoop(t testing.TB, r *Relay, f func()) {
+	t.Helper()
+	done := make(chan struct{})
+	r.post(func() { f(); close(done) })
+	select {
+	case <-done:
+	case <-time.After(30 * time.Second):
+		t.Fatal("the loop hangs")
+	}
+}
+
+// counts are what the decisions have and what the disk has.
+func counts(t testing.TB, r *Relay) (held, disk int) {
+	t.Helper()
+	inLoop(t, r, func() { held, disk = len(r.held), r.overflow.len() })
+	return held, disk
+}
--- a/internal/relay/backlog_rig_test.go
+++ b/internal/relay/backlog_rig_test.go
@@ -222,25 +222,6 @@
 	return all
 }
 
-// inLoop runs something in the loop.
-func inLoop(t testing.TB, r *Relay, f func()) {
-	t.Helper()
-	done := make(chan struct{})
-	r.post(func() { f(); close(done) })
-	select {
-	case <-done:
-	case <-time.After(30 * time.Second):
-		t.Fatal("the loop hangs")
-	}
-}
-
-// counts are what the decisions have and what the disk has.
-func counts(t testing.TB, r *Relay) (held, disk int) {
-	t.Helper()
-	inLoop(t, r, func() { held, disk = len(r.held), r.overflow.len() })
-	return held, disk
-}
-
 // ends collects notices until there are so many, and wants them to be of different messages.
 func (p *platform) ends(t *testing.T, n int) map[string]string {
 	t.Helper()
