--- a/internal/hollow/figures_test.go
+++ b/internal/hollow/figures_test.go
@@ -13,14 +13,15 @@
 
 // part is one part of a play, and what it used.
 type part struct {
-	name     string
-	from, to time.Duration
-	settled  bool
-	note     string
-	members  proc.Use // of all processes together
-	bytes    int64
-	keepers  []proc.Use
-	io       []int64 // bytes that each keeper has read and written, on its disk too
+	name      string
+	from, to  time.Duration
+	settled   bool
+	elections int
+	note      string
+	members   proc.Use // of all processes together
+	bytes     int64
+	keepers   []proc.Use
+	io        []int64 // bytes that each keeper has read and written, on its disk too
 }
 
 // use adds what is used now, with a sign.
--- a/internal/hollow/hollow_test.go
+++ b/internal/hollow/hollow_test.go
@@ -17,6 +17,7 @@
 	flagProcesses = flag.Int("hollow.processes", 2, "processes that they share")
 	flagKeepers   = flag.Int("hollow.keepers", 3, "keepers: 1, 3 or 5, in three regions")
 	flagLease     = flag.Duration("hollow.lease", 2*time.Second, "lease of a member's session")
+	flagElection  = flag.Duration("hollow.election", time.Second, "for which keepers that hear no leader wait")
 	flagLength    = flag.Duration("hollow.length", time.Second, "of each part of the play")
 	flagCut       = flag.Duration("hollow.cut", 3*time.Second, "for which a region is cut off")
 	flagGone      = flag.Duration("hollow.gone", 3*time.Second, "for which a rack's members are gone, 60 of 2,000")
@@ -49,7 +50,7 @@
 
 // play plays one part while changes and restarts go on at the day's rate, and then waits until all is in force.
 func (p *player) play(name string, r *rand.Rand, do func() string) part {
-	u := part{name: name, from: Clock()}
+	u := part{name: name, from: Clock(), elections: -p.keepers.elections()}
 	p.use(&u, -1)
 	stop := make(chan struct{})
 	due := make(chan time.Duration, 1000)
@@ -100,7 +101,8 @@
 	close(due)
 	<-proposed
 	u.settled = p.settled(time.Minute)
-	p.t.Logf("%s: %v, settled %v, %v", name, u.note, u.settled, p.modes())
+	u.elections += p.keepers.elections()
+	p.t.Logf("%s: %v, settled %v, %v, %d elections", name, u.note, u.settled, p.modes(), u.elections)
 	return u
 }
 
--- a/internal/hollow/keepers_test.go
+++ b/internal/hollow/keepers_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -88,7 +89,7 @@
 			}
 		}
 		data, err := toml.Marshal(map[string]any{"name": name(i), "http": all[i].HTTP, "raft": k.ip(i) + ":7600", "source": k.ip(i),
-			"dir": filepath.Join(dir, fmt.Sprint("state-", i)), "lease": lease.String(), "peer": peers})
+			"dir": filepath.Join(dir, fmt.Sprint("state-", i)), "lease": lease.String(), "election": flagElection.String(), "peer": peers})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -172,3 +173,15 @@
 	k.t.Fatal("no keeper leads")
 	return 0
 }
+
+// elections counts how often a keeper began to lead, by what the keepers log.
+func (k *keepers) elections() (n int) {
+	for i := range k.up {
+		data, err := os.ReadFile(filepath.Join(k.dir, fmt.Sprintf("keeper-%d.log", i)))
+		if err != nil {
+			k.t.Error(err)
+		}
+		n += strings.Count(string(data), "INFO leads\n")
+	}
+	return n
+}
