--- a/choice/pick.go
+++ b/choice/pick.go
@@ -24,31 +24,26 @@
 }
 
 // best is the message that loses most by waiting, among those that a test lets through; what is
-// past its tenant's share comes after all that is not.
-func (c *Chooser) best(d *dest, test func(*message) bool) *message {
+// past its tenant's share comes after all that is not. It looks at some of those that wait.
+func (c *Chooser) best(d *dest, among []*message, test func(*message) bool) *message {
 	rate := 0.0
 	for _, u := range d.units {
 		rate += u.served
 	}
 	wait := c.minAim
 	if rate > 0 {
-		wait = time.Duration(float64(len(d.waiting)) / rate * float64(time.Second))
+		wait = time.Duration(float64(d.waiting.n) / rate * float64(time.Second))
 	}
 	wait = min(max(wait, c.minAim/8), 4*c.bound)
 	var best *message
 	most := math.Inf(-1)
-	for _, m := range d.waiting {
-		if !c.hasTurn(m) || !test(m) {
+	for _, m := range among {
+		if m == nil || best != nil && m.past && !best.past {
 			continue
 		}
 		loss := c.worth(m, c.now) - c.worth(m, c.now+wait)
-		if best != nil && m.past != best.past {
-			if m.past {
-				continue
-			}
-			most = math.Inf(-1)
-		}
-		if best == nil || loss > most || loss == most && m.due < best.due {
+		less := best != nil && m.past == best.past && (loss < most || loss == most && m.due >= best.due)
+		if !less && c.hasTurn(m) && test(m) {
 			best, most = m, loss
 		}
 	}
@@ -63,9 +58,15 @@
 			open = append(open, h)
 		}
 	}
-	m := c.best(d, func(m *message) bool {
+	if len(open) == 0 {
+		return nil, nil
+	}
+	m := c.best(d, c.unblocked(d, open), func(m *message) bool {
 		return slices.ContainsFunc(open, func(h *host) bool { return c.fits(m, h) })
 	})
+	if m == nil {
+		c.block(d, open)
+	}
 	var best *host
 	least := math.Inf(1)
 	for _, h := range open {
@@ -103,14 +104,5 @@
 		return true
 	}
 	l := c.lines[m.Key]
-	return l.queue[0] == m && c.now >= l.rest
-}
-
-func (c *Chooser) freeLines() {
-	c.resting = slices.DeleteFunc(c.resting, func(l *line) bool {
-		if len(l.queue) == 0 && c.now >= l.rest {
-			delete(c.lines, l.key)
-		}
-		return len(l.queue) > 0 || c.now >= l.rest
-	})
+	return l.queue.first == m && c.now >= l.rest
 }
