estate: who is asked for a copy is settled before any answers come

The race detector saw Find read what had answered while an earlier answer was written (TestFindWaitsForEnough, once in one run of the package beside other load). Seen in neither of 40 further runs before and after; by reading, the read had no lock.

--- a/internal/estate/find.go
+++ b/internal/estate/find.go
@@ -36,31 +36,33 @@
 		asked := map[state.Holder]bool{}
 		for _, s := range sets {
 			for _, h := range s.Holders {
-				if said[h] || asked[h] {
-					continue
-				}
-				asked[h] = true
-				all.Go(func() {
-					var out Promised
-					begun, _, err := call(ctx, client, h, PromisePath, p, &out, unixMilli)
-					mu.Lock()
-					defer mu.Unlock()
-					if err != nil {
-						errors.As(err, &sealed)
-						last = err
-						return
-					}
-					said[h] = true
-					if out.From == "" || best != nil && !out.Copy.Newer(best.Copy) {
-						return
-					}
-					best = &Found{out.Copy, out.Records, h.Name}
-					// Its clock showed this after the call began here, so what it has is that much earlier at the latest.
-					for i := range best.Records {
-						best.Records[i] = best.Records[i].Shifted(begun - out.Clock)
-					}
-				})
+				asked[h] = !said[h] // before any answers: answers write to said
+			}
+		}
+		for h, ask := range asked {
+			if !ask {
+				continue
 			}
+			all.Go(func() {
+				var out Promised
+				begun, _, err := call(ctx, client, h, PromisePath, p, &out, unixMilli)
+				mu.Lock()
+				defer mu.Unlock()
+				if err != nil {
+					errors.As(err, &sealed)
+					last = err
+					return
+				}
+				said[h] = true
+				if out.From == "" || best != nil && !out.Copy.Newer(best.Copy) {
+					return
+				}
+				best = &Found{out.Copy, out.Records, h.Name}
+				// Its clock showed this after the call began here, so what it has is that much earlier at the latest.
+				for i := range best.Records {
+					best.Records[i] = best.Records[i].Shifted(begun - out.Clock)
+				}
+			})
 		}
 		all.Wait()
 		if sealed != nil && sealed.Writer != p.Writer {
