--- a/choice/choice.go
+++ b/choice/choice.go
@@ -119,7 +119,9 @@
 			delete(c.dests, d.id)
 			c.order.drop(d)
 		}
-		gone := func(h *host) bool { return h.State == Gone }
-		return slices.ContainsFunc(d.hosts, gone) || len(d.hosts) > 0 && slices.ContainsFunc(d.units, c.misnamed)
+		if slices.ContainsFunc(d.hosts, func(h *host) bool { return h.State == Gone }) {
+			return true
+		}
+		return len(d.hosts) > 0 && slices.ContainsFunc(d.units, c.misnamed)
 	})
 }
