--- a/internal/journal/records.go
+++ b/internal/journal/records.go
@@ -32,7 +32,6 @@
 	Again  int64         `json:"again,omitempty"`
 	Estate uint64        `json:"estate,omitempty"` // that it belongs to; 0 for none, in a relay that copies nothing
 	Order  string        `json:"order,omitempty"`  // key of an ordered class; the protocol on sockets has no field for one yet
-	Place  uint64        `json:"place,omitempty"`  // in its destination's backlog, which it came from; 0 for one that never lay there
 
 	seq  uint64 // in the order of the journal that has it
 	size int64  // bytes that it takes in a compacted journal at most
