--- a/internal/lab/link/faults.go
+++ b/internal/lab/link/faults.go
@@ -1,7 +1,9 @@
 package link
 
 import (
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -71,10 +73,7 @@
 func (w *way) set(f *Faults) {
 	w.faults.Store(f)
 	w.mu.Lock()
-	var all []*queue
-	for q := range w.queues {
-		all = append(all, q)
-	}
+	all := slices.Collect(maps.Keys(w.queues))
 	w.mu.Unlock()
 	for _, q := range all {
 		q.wake()
--- a/internal/lab/link/link.go
+++ b/internal/lab/link/link.go
@@ -8,7 +8,9 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -156,10 +158,7 @@
 // Reset ends all connections of the link at once, as a process's death does.
 func (l *Link) Reset() {
 	l.mu.Lock()
-	var all []*Conn
-	for c := range l.conns {
-		all = append(all, c)
-	}
+	all := slices.Collect(maps.Keys(l.conns))
 	l.mu.Unlock()
 	for _, c := range all {
 		c.Abort()
