larchrouter: a log that nobody reads holds up nothing

Cause: the loop that owns all state logs to standard error itself. Once the pipe behind it is full, because its reader has stopped or gets no core, the loop stands still, and with it every end that falls due.

--- a/cmd/larchrouter/main.go
+++ b/cmd/larchrouter/main.go
@@ -8,15 +8,25 @@
 	"runtime"
 	"runtime/debug"
 	"syscall"
+	"time"
 
+	"larchrouter/internal/logqueue"
 	"larchrouter/internal/relay"
 	"larchrouter/internal/remedy"
 )
 
+// lastLines is for the end of the log to be written as the process ends.
+const lastLines = 100 * time.Millisecond
+
 func main() {
-	slog.SetDefault(slog.New(slog.NewTextHandler(os.Stderr, nil)))
-	if err := run(); err != nil {
+	lines := logqueue.New(os.Stderr)
+	slog.SetDefault(slog.New(slog.NewTextHandler(lines, nil)))
+	err := run()
+	if err != nil {
 		slog.Error("cannot start", "err", err, "remedy", remedy.Of(err))
+	}
+	lines.Flush(lastLines)
+	if err != nil {
 		os.Exit(1)
 	}
 }
