relay: ends never wait for the sender of notices, nor it for the loop

The loop wrote notices to a channel of 16,384, and what is owed is looked at only on intake: with more ends at once it waited in flush for the sender, which waited in post for room in the inbox that only the loop empties. Neither went on, though the platform answered.

Notices now leave the loop by a queue without a bound of its own (what the relay holds bounds it), in a type with that one job, noticeSender. How a batch is sent stays as it was.

TestLoopAndSenderNeverWaitForEachOther has 32,768 messages end in one turn, with the inbox kept full, over connections in memory and in a bubble. Without the change: "the loop stands still", for ever.

--- a/internal/relay/books.go
+++ b/internal/relay/books.go
@@ -47,7 +47,7 @@
 	records []journal.Record
 	untold  []notice // go out once they are recorded
 	owed    int      // notices
-	notices chan notice
+	notices *noticeSender
 	copies  *copying // nil in a relay that copies nothing
 	// overflow is what the decisions have no room for; nil in a relay that keeps no backlog.
 	overflow *overflow
@@ -153,8 +153,8 @@
 				if n.class != "" {
 					r.figures.ended(n.class, n.how())
 				}
-				r.notices <- n // holds more than can be owed
 			}
+			r.notices.add(untold)
 		}
 	}
 	if len(r.records) > 0 {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -73,12 +73,13 @@
 func New(conf Config) (r *Relay, err error) {
 	set := conf.Settings
 	r = &Relay{conf: conf, platformAt: discovery.NewAt(conf.Discovery), began: time.Now(), inbox: make(chan func(), 1024),
-		books:     books{held: map[string]*message{}, notices: make(chan notice, 2*maxOwed)},
+		books:     books{held: map[string]*message{}},
 		endpoints: endpoints{zones: set.Zones, hosts: map[string]*host{}, dests: map[int]*waiting{}},
 		quit:      make(chan struct{}), halted: make(chan struct{}), wake: time.NewTimer(time.Hour)}
 	clients, kept := conf.parts(set.Workers)
 	r.hostSide.Store(newTransport(&set, kept, r.dial(set.DialTimeout)))
 	r.platform = &http.Client{Transport: &http.Transport{DisableCompression: true, IdleConnTimeout: idleIn, DialContext: r.dial(0)}}
+	r.notices = newNoticeSender(r.platformAt, r.platform, r.noticesAccepted)
 	r.list = &discovery.Platform{Client: r.platform, At: r.platformAt, Seed: conf.Seed, Known: conf.Known.Full, Version: conf.Known.Version,
 		Fleet: func() discovery.Fleet {
 			set := r.set.Load()
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -16,7 +16,7 @@
 	}
 	r.awaitHeir()
 	go r.list.Follow(ctx, func(l discovery.List) { r.post(func() { r.listed(l) }) })
-	go r.tell(ctx)
+	go r.notices.run(ctx)
 	if r.kept != nil {
 		go r.carry(ctx, r.session())
 	}
