relay: a body of notices stays within 64 KiB

A batch was bounded by its count alone, 256. Ids of 200 characters fit by that, but characters that JSON escapes, such as "<", take six bytes each. The platform cannot read such a body and answers 400; the batch was sent again for ever, and all behind it waited.

A batch now ends before the line that would not fit.

--- a/internal/relay/notice_sender.go
+++ b/internal/relay/notice_sender.go
@@ -48,7 +48,7 @@
 func (s *noticeSender) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		batch := s.nextBatch()
-		if len(batch) == 0 {
+		if len(batch.notices) == 0 {
 			select {
 			case <-s.arrived:
 			case <-ctx.Done():
@@ -56,34 +56,57 @@
 			continue
 		}
 		if err := s.deliver(ctx, batch); err == nil {
-			s.accepted(batch)
+			s.accepted(batch.notices)
 		}
 	}
 }
 
+// noticeBatch is what goes in one POST: a JSON object a line.
+type noticeBatch struct {
+	notices []notice
+	body    []byte
+}
+
 // nextBatch removes from the queue what one POST may hold, which may be nothing. Only run calls it.
-func (s *noticeSender) nextBatch() []notice {
+func (s *noticeSender) nextBatch() noticeBatch {
+	s.mu.Lock()
+	head := slices.Clone(s.queue[:min(len(s.queue), batchMost)])
+	s.mu.Unlock()
+	var body bytes.Buffer
+	lines := json.NewEncoder(&body)
+	var batch noticeBatch
+	taken := 0
+	for _, n := range head {
+		if err := lines.Encode(n); err != nil { // strings and numbers can be encoded; if not, the journal keeps it
+			slog.Error("notice not encoded", "id", n.ID, "err", err)
+			taken++
+			continue
+		}
+		if body.Len() > maxBody {
+			break
+		}
+		batch.notices, batch.body = append(batch.notices, n), body.Bytes()
+		taken++
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	n := min(len(s.queue), batchMost)
-	batch := slices.Clone(s.queue[:n])
-	if s.queue = s.queue[n:]; len(s.queue) == 0 {
+	if s.queue = s.queue[taken:]; len(s.queue) == 0 {
 		s.queue = nil
 	}
 	return batch
 }
 
 // deliver sends one batch until the platform has accepted it. It returns an error only if the context ends first.
-func (s *noticeSender) deliver(ctx context.Context, batch []notice) error {
+func (s *noticeSender) deliver(ctx context.Context, batch noticeBatch) error {
 	for pause := discovery.FirstPause; ; pause = min(2*pause, discovery.LongPause) {
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
-		err := s.post(ctx, batch)
+		err := s.post(ctx, batch.body)
 		if err == nil {
 			return nil
 		}
-		slog.Warn("notices not accepted", "notices", len(batch), "err", err)
+		slog.Warn("notices not accepted", "notices", len(batch.notices), "err", err)
 		select {
 		case <-ctx.Done():
 		case <-time.After(pause):
@@ -91,19 +114,12 @@
 	}
 }
 
-// post makes one POST, with an object a line.
-func (s *noticeSender) post(ctx context.Context, batch []notice) error {
-	var body bytes.Buffer
-	enc := json.NewEncoder(&body)
-	for _, n := range batch {
-		if err := enc.Encode(n); err != nil {
-			return fmt.Errorf("notice of %s: %w", n.ID, err)
-		}
-	}
+// post makes one POST.
+func (s *noticeSender) post(ctx context.Context, body []byte) error {
 	ctx, cancel := context.WithTimeout(ctx, noticeIn)
 	defer cancel()
 	addr, _ := s.platform.Get()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/status", &body)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/status", bytes.NewReader(body))
 	if err != nil {
 		return err
 	}
