relay: a notice waits neither for one answer nor for the batch before it

One batch went at a time, each attempt for up to 1 s, then a pause that grew to 1 s. One silent kept connection, one late answer or one error held that notice and all behind it beyond the 350 ms; and once the platform was back from an outage, they still waited the pause out. The connections were shared with discovery's.

An attempt without an answer is followed by another, on a connection that has not been idle, 80 ms after it began (a hedged request: a notice told twice does no harm); one that failed after 10 ms, doubling up to 80 ms. At most three attempts at a batch wait at once; the oldest is kept for 1 s, for the platform may only be slow. After 50 ms the next batch starts beside one that is unanswered, three in all. Where the platform answers at once there is still one kept connection, and nothing runs while nothing is owed. A dial ends with its attempt: net/http lets it outlive the request, and 63 connections were on their way to a platform that could not be reached. The sender has a transport of its own, and its connections count in ownDescriptors (16 to 27).

Tests, in a bubble over connections in memory; without the change, and with it (5 runs with -race, all pass): - TestNoticesDoNotWaitForOneAnswer, limit 200 ms: silent, late, error, late error fail ("notice of second not taken after 300ms"); a reset kept connection passed before, too. - TestNoticesOverASlowPlatform, each answer takes 180 ms, limit 300 ms: up to 358 ms before. - TestNoticesGoOnceThePlatformIsBack, 17,384 owed, limit 200 ms after the outage: fails for errors, silence and no connection; 9 connections and 100 goroutines at most now. Three batches asking all the time cost the platform 37 POSTs a second in an outage.

--- a/internal/relay/descriptors.go
+++ b/internal/relay/descriptors.go
@@ -12,7 +12,9 @@
 // leave enough for endpoints, discovery, notices, the journal, the second address and the next process.
 
 const (
-	ownDescriptors   = 16 // standard streams, the poller, listeners, journal and its copy, discovery, notices, hand-over
+	// Standard streams, the poller, listeners, journal and its copy, discovery, hand-over; and notices, of whose attempts one of
+	// each batch may be on its way out.
+	ownDescriptors   = 15 + noticeBatches*(noticeTries+1)
 	fleetDescriptors = 24 // keepers, holders, their streams and folders
 )
 
--- /dev/null
+++ b/internal/relay/notice_delivery.go
@@ -0,0 +1,163 @@
+package relay
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/bits"
+	"net/http"
+	"slices"
+	"time"
+)
+
+// The platform answers a POST of notices at once. One that has no answer after a short while most likely went out on a
+// connection that is dead but was not closed, so the same POST goes out again on a new one (a hedged request): accepting a
+// notice twice does no harm, and accepting it late breaks the limit of 300 ms.
+const (
+	// noticeRetry is the longest time from one attempt at a batch to the next.
+	noticeRetry = 80 * time.Millisecond
+	// noticeBackoff is the pause after the first attempt that failed. It doubles with each failure, up to noticeRetry.
+	noticeBackoff = 10 * time.Millisecond
+	// noticeTries bounds the attempts at a batch that wait for an answer at once.
+	noticeTries = 3
+	// noticeIn bounds one attempt.
+	noticeIn = time.Second
+)
+
+// errUnanswered says that an attempt made room for a later one.
+var errUnanswered = errors.New("no answer yet")
+
+// attempt is one POST of a batch.
+type attempt struct {
+	cancel context.CancelFunc
+	err    error // once it has ended
+}
+
+// delivery sends one batch until the platform has accepted it.
+type delivery struct {
+	sender   *noticeSender
+	batch    noticeBatch
+	running  []*attempt // oldest first
+	ended    chan *attempt
+	next     *time.Timer // starts the next attempt
+	nextAt   time.Time
+	failures uint
+}
+
+// deliver returns an error only if the context ends first.
+func (s *noticeSender) deliver(ctx context.Context, batch noticeBatch) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel() // attempts still running are given up
+	d := &delivery{sender: s, batch: batch, ended: make(chan *attempt), next: time.NewTimer(noticeRetry)}
+	defer d.next.Stop()
+	d.start(ctx)
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-d.next.C:
+			d.makeRoom()
+			d.restart(ctx)
+		case a := <-d.ended:
+			if a.err == nil {
+				return nil
+			}
+			d.failed(a)
+		}
+	}
+}
+
+// restart starts another attempt, on a connection that has not been idle.
+func (d *delivery) restart(ctx context.Context) {
+	d.sender.conns.CloseIdleConnections()
+	d.start(ctx)
+}
+
+// start starts an attempt, and sets the time of the next one.
+func (d *delivery) start(ctx context.Context) {
+	attemptCtx, cancel := context.WithTimeout(ctx, noticeIn)
+	a := &attempt{cancel: cancel}
+	d.running = append(d.running, a)
+	go func() {
+		defer cancel()
+		a.err = d.sender.post(attemptCtx, d.batch.body)
+		select {
+		case d.ended <- a:
+		case <-ctx.Done():
+		}
+	}()
+	d.scheduleNext(noticeRetry)
+}
+
+func (d *delivery) scheduleNext(after time.Duration) {
+	d.nextAt = time.Now().Add(after)
+	d.next.Reset(after)
+}
+
+// makeRoom gives up an attempt if there are as many as may be. The oldest is kept until its own limit, for the platform may
+// only be slow.
+func (d *delivery) makeRoom() {
+	if len(d.running) < noticeTries {
+		return
+	}
+	second := d.running[1]
+	d.running = slices.Delete(d.running, 1, 2)
+	second.cancel()
+	d.warn(errUnanswered)
+}
+
+// failed brings the next attempt forward after one that failed.
+func (d *delivery) failed(a *attempt) {
+	i := slices.Index(d.running, a)
+	if i < 0 { // it was given up
+		return
+	}
+	d.running = slices.Delete(d.running, i, i+1)
+	pause := min(noticeBackoff<<min(d.failures, 8), noticeRetry)
+	if time.Now().Add(pause).Before(d.nextAt) {
+		d.scheduleNext(pause)
+	}
+	d.warn(a.err)
+}
+
+// warn counts a failure, and logs it if the count is a power of two: failures may last for long.
+func (d *delivery) warn(err error) {
+	d.failures++
+	if bits.OnesCount(d.failures) == 1 {
+		slog.Warn("notices not accepted", "notices", len(d.batch.notices), "attempts", d.failures, "err", err)
+	}
+}
+
+// attemptKey is the key of a context's value: the context itself.
+type attemptKey struct{}
+
+// attemptOf is the context of the attempt that a connection is opened for. The one that net/http passes to a dialer outlives
+// its request, so that connections to a machine which says nothing would pile up.
+func attemptOf(dialing context.Context) context.Context {
+	if ctx, ok := dialing.Value(attemptKey{}).(context.Context); ok {
+		return ctx
+	}
+	return dialing
+}
+
+// post makes one POST.
+func (s *noticeSender) post(ctx context.Context, body []byte) error {
+	addr, _ := s.platform.Get()
+	ctx = context.WithValue(ctx, attemptKey{}, ctx)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/status", bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := s.conns.RoundTrip(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode/100 != 2 {
+		return fmt.Errorf("status %d", resp.StatusCode)
+	}
+	return nil
+}
--- a/internal/relay/notice_sender.go
+++ b/internal/relay/notice_sender.go
@@ -4,8 +4,8 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"fmt"
 	"log/slog"
+	"net"
 	"net/http"
 	"slices"
 	"sync"
@@ -14,14 +14,20 @@
 	"larchrouter/internal/discovery"
 )
 
-// noticeIn bounds one POST of notices: a platform that hangs must not hold up all later ends.
-const noticeIn = time.Second
+const (
+	// noticeTurn is how long a batch is alone under way. The next one then starts beside it, on a connection of its own: where
+	// the platform answers at once, all go one after the other on a single kept connection.
+	noticeTurn = 50 * time.Millisecond
+	// noticeBatches bounds the batches under way, and with noticeTries the connections.
+	noticeBatches = 3
+)
 
 // noticeSender sends queued notices to the platform, in batches, until it has accepted them. Whoever queues notices never
-// waits for the platform.
+// waits for the platform, and batches do not wait for one that gets no answer. Its connections serve nothing else: one that
+// has fallen silent for discovery must not hold up a notice.
 type noticeSender struct {
 	platform *discovery.At
-	client   *http.Client
+	conns    *http.Transport
 	accepted func([]notice) // is called, by any goroutine, with what the platform has accepted
 
 	mu      sync.Mutex
@@ -29,8 +35,13 @@
 	arrived chan struct{} // holds a value once something is queued
 }
 
-func newNoticeSender(platform *discovery.At, client *http.Client, accepted func([]notice)) *noticeSender {
-	return &noticeSender{platform: platform, client: client, accepted: accepted, arrived: make(chan struct{}, 1)}
+func newNoticeSender(platform *discovery.At, dial dialFunc, accepted func([]notice)) *noticeSender {
+	s := &noticeSender{platform: platform, accepted: accepted, arrived: make(chan struct{}, 1)}
+	s.conns = &http.Transport{DisableCompression: true, IdleConnTimeout: idleIn, MaxIdleConnsPerHost: 1,
+		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			return dial(attemptOf(ctx), network, addr)
+		}}
+	return s
 }
 
 // add queues notices. It does not block; what is queued is bounded by what the relay holds.
@@ -46,6 +57,10 @@
 
 // run sends what is queued until the context ends.
 func (s *noticeSender) run(ctx context.Context) {
+	var deliveries sync.WaitGroup
+	defer s.conns.CloseIdleConnections()
+	defer deliveries.Wait()
+	slots := make(chan struct{}, noticeBatches)
 	for ctx.Err() == nil {
 		batch := s.nextBatch()
 		if len(batch.notices) == 0 {
@@ -55,8 +70,23 @@
 			}
 			continue
 		}
-		if err := s.deliver(ctx, batch); err == nil {
-			s.accepted(batch.notices)
+		select {
+		case slots <- struct{}{}:
+		case <-ctx.Done():
+			return
+		}
+		done := make(chan struct{})
+		deliveries.Go(func() {
+			if err := s.deliver(ctx, batch); err == nil {
+				s.accepted(batch.notices)
+			}
+			<-slots
+			close(done)
+		})
+		select {
+		case <-done:
+		case <-time.After(noticeTurn):
+		case <-ctx.Done():
 		}
 	}
 }
@@ -95,42 +125,3 @@
 	}
 	return batch
 }
-
-// deliver sends one batch until the platform has accepted it. It returns an error only if the context ends first.
-func (s *noticeSender) deliver(ctx context.Context, batch noticeBatch) error {
-	for pause := discovery.FirstPause; ; pause = min(2*pause, discovery.LongPause) {
-		if ctx.Err() != nil {
-			return ctx.Err()
-		}
-		err := s.post(ctx, batch.body)
-		if err == nil {
-			return nil
-		}
-		slog.Warn("notices not accepted", "notices", len(batch.notices), "err", err)
-		select {
-		case <-ctx.Done():
-		case <-time.After(pause):
-		}
-	}
-}
-
-// post makes one POST.
-func (s *noticeSender) post(ctx context.Context, body []byte) error {
-	ctx, cancel := context.WithTimeout(ctx, noticeIn)
-	defer cancel()
-	addr, _ := s.platform.Get()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/status", bytes.NewReader(body))
-	if err != nil {
-		return err
-	}
-	req.Header.Set("Content-Type", "application/json")
-	resp, err := s.client.Do(req)
-	if err != nil {
-		return err
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode/100 != 2 {
-		return fmt.Errorf("status %d", resp.StatusCode)
-	}
-	return nil
-}
--- a/internal/relay/notices_rig_test.go
+++ b/internal/relay/notices_rig_test.go
@@ -166,14 +166,12 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		var running sync.WaitGroup
 		running.Go(r.loop)
-		conns := &http.Transport{DialContext: g.dial}
-		r.notices = newNoticeSender(r.platformAt, &http.Client{Transport: conns}, r.noticesAccepted)
+		r.notices = newNoticeSender(r.platformAt, g.dial, r.noticesAccepted)
 		running.Go(func() { r.notices.run(ctx) })
 		defer func() {
 			r.stop()
 			cancel()
 			running.Wait()
-			conns.CloseIdleConnections()
 			time.Sleep(time.Minute) // what a stand-in is about to answer has ended, too
 			r.tcp.Close()
 			r.journal.Close()
--- a/internal/relay/notices_test.go
+++ b/internal/relay/notices_test.go
@@ -1,12 +1,102 @@
 package relay
 
 import (
+	"net/http"
 	"runtime"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 )
 
+// Guards against a notice, and all behind it, that wait for one connection or one answer.
+func TestNoticesDoNotWaitForOneAnswer(t *testing.T) {
+	const from = 100 * time.Millisecond // the second POST; the first left a kept connection
+	for name, act := range map[string]reaction{
+		"kept connection is silent":       {silent: true},
+		"kept connection is reset":        {reset: true},
+		"one answer comes late":           {after: 900 * time.Millisecond},
+		"one answer is an error":          {status: http.StatusInternalServerError},
+		"one answer is an error and late": {after: 120 * time.Millisecond, status: http.StatusInternalServerError},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := &memoryPlatform{react: func(conn, post int, _ time.Duration) reaction {
+				if conn == 1 && post > 1 {
+					return act
+				}
+				return reaction{}
+			}}
+			inNoticeRig(t, p, func(g *noticeRig) {
+				g.end("first")
+				time.Sleep(from)
+				g.end("second")
+				time.Sleep(time.Millisecond)
+				g.end("behind")
+				g.takenBy(p, from+noticeLimit, "first", "second", "behind")
+			})
+		})
+	}
+}
+
+// Guards against batches that wait for each other where each answer takes a while.
+func TestNoticesOverASlowPlatform(t *testing.T) {
+	p := &memoryPlatform{react: func(_, _ int, _ time.Duration) reaction { return reaction{after: 180 * time.Millisecond} }}
+	inNoticeRig(t, p, func(g *noticeRig) {
+		const notices, apart, limit = 100, 7 * time.Millisecond, 300 * time.Millisecond
+		ids := idsOf(notices)
+		for _, id := range ids {
+			g.end(id)
+			time.Sleep(apart)
+		}
+		g.takenBy(p, notices*apart+limit, ids...)
+		for i, id := range ids {
+			if times := p.taken[id]; len(times) > 0 && times[0]-time.Duration(i)*apart > limit {
+				t.Errorf("notice %d taken after %v", i, times[0]-time.Duration(i)*apart)
+			}
+		}
+	})
+}
+
+// Guards against a notice that goes long after the platform can take it again; and against sockets, goroutines and memory
+// without bound, and a loop that stands still, while it cannot.
+func TestNoticesGoOnceThePlatformIsBack(t *testing.T) {
+	const back = 30 * time.Second
+	for name, p := range map[string]*memoryPlatform{
+		"errors": {react: func(_, _ int, now time.Duration) reaction {
+			if now < back {
+				return reaction{status: http.StatusInternalServerError}
+			}
+			return reaction{}
+		}},
+		"silence":       {react: func(_, _ int, now time.Duration) reaction { return reaction{silent: now < back} }},
+		"no connection": {dialable: func(now time.Duration) bool { return now >= back }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inNoticeRig(t, p, func(g *noticeRig) {
+				ids := idsOf(2*maxOwed + 1000)
+				before := runtime.NumGoroutine()
+				g.end(ids...)
+				for range 99 {
+					time.Sleep(back / 100)
+					synctest.Wait()
+					if n := runtime.NumGoroutine() - before; n > 100 {
+						t.Fatalf("%d more goroutines", n)
+					}
+					if n := p.openNow(); n > 9 {
+						t.Fatalf("%d connections, want 9 at most", n)
+					}
+				}
+				want(t, "notices owed meanwhile", g.left(), len(ids))
+				g.takenBy(p, back+noticeLimit, ids...)
+				if p.mostOpen > 12 { // of each batch one may be on its way out
+					t.Errorf("%d connections at once, want 12 at most", p.mostOpen)
+				}
+				t.Logf("%d connections, %d POSTs, %d connections at once", p.conns, p.posts, p.mostOpen)
+			})
+		})
+	}
+}
+
 // Guards against bodies over the 64 KiB that one may have, and against more than one connection and one POST of a notice
 // where the platform answers at once.
 func TestManyNoticesAtOnce(t *testing.T) {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -36,8 +36,8 @@
 	server   *http.Server
 	listener *peers
 	tcp      *net.TCPListener // under listener
-	platform *http.Client
-	// platformAt is where platform's requests go.
+	platform *http.Client     // for discovery
+	// platformAt is where discovery and the taker of notices are.
 	platformAt *discovery.At
 	list       discovery.Source // of the endpoints
 	calls      context.Context
@@ -79,7 +79,7 @@
 	clients, kept := conf.parts(set.Workers)
 	r.hostSide.Store(newTransport(&set, kept, r.dial(set.DialTimeout)))
 	r.platform = &http.Client{Transport: &http.Transport{DisableCompression: true, IdleConnTimeout: idleIn, DialContext: r.dial(0)}}
-	r.notices = newNoticeSender(r.platformAt, r.platform, r.noticesAccepted)
+	r.notices = newNoticeSender(r.platformAt, r.dial(noticeIn), r.noticesAccepted)
 	r.list = &discovery.Platform{Client: r.platform, At: r.platformAt, Seed: conf.Seed, Known: conf.Known.Full, Version: conf.Known.Version,
 		Fleet: func() discovery.Fleet {
 			set := r.set.Load()
