relay: notices under way go to the new address at once when the platform moves

A delivery gives its attempts up as the address changes, and asks the new one in that instant; idle connections to the old one are closed.

TestNoticesFollowTheMove, in a bubble, a platform that is silent or answers 503: both notices have to be taken without any time passing after the move, and no POST goes to the old address later.

--- a/internal/relay/notice_delivery.go
+++ b/internal/relay/notice_delivery.go
@@ -39,6 +39,7 @@
 type delivery struct {
 	sender   *noticeSender
 	batch    noticeBatch
+	addr     string
 	running  []*attempt // oldest first
 	ended    chan *attempt
 	next     *time.Timer // starts the next attempt
@@ -50,13 +51,18 @@
 func (s *noticeSender) deliver(ctx context.Context, batch noticeBatch) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel() // attempts still running are given up
-	d := &delivery{sender: s, batch: batch, ended: make(chan *attempt), next: time.NewTimer(noticeRetry)}
+	addr, valid := s.platform.Get()
+	d := &delivery{sender: s, batch: batch, addr: addr, ended: make(chan *attempt), next: time.NewTimer(noticeRetry)}
 	defer d.next.Stop()
 	d.start(ctx)
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
+		case <-valid.Done(): // the platform has moved
+			d.giveUpAll()
+			d.addr, valid = s.platform.Get()
+			d.restart(ctx)
 		case <-d.next.C:
 			d.makeRoom()
 			d.restart(ctx)
@@ -78,11 +84,11 @@
 // start starts an attempt, and sets the time of the next one.
 func (d *delivery) start(ctx context.Context) {
 	attemptCtx, cancel := context.WithTimeout(ctx, noticeIn)
-	a := &attempt{cancel: cancel}
+	a, addr := &attempt{cancel: cancel}, d.addr
 	d.running = append(d.running, a)
 	go func() {
 		defer cancel()
-		a.err = d.sender.post(attemptCtx, d.batch.body)
+		a.err = d.sender.post(attemptCtx, addr, d.batch.body)
 		select {
 		case d.ended <- a:
 		case <-ctx.Done():
@@ -108,6 +114,13 @@
 	d.warn(errUnanswered)
 }
 
+func (d *delivery) giveUpAll() {
+	for _, a := range d.running {
+		a.cancel()
+	}
+	d.running = nil
+}
+
 // failed brings the next attempt forward after one that failed.
 func (d *delivery) failed(a *attempt) {
 	i := slices.Index(d.running, a)
@@ -143,8 +156,7 @@
 }
 
 // post makes one POST.
-func (s *noticeSender) post(ctx context.Context, body []byte) error {
-	addr, _ := s.platform.Get()
+func (s *noticeSender) post(ctx context.Context, addr string, body []byte) error {
 	ctx = context.WithValue(ctx, attemptKey{}, ctx)
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/status", bytes.NewReader(body))
 	if err != nil {
--- a/internal/relay/notices_test.go
+++ b/internal/relay/notices_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"larchrouter/internal/fleet"
 )
 
 // Guards against a notice, and all behind it, that wait for one connection or one answer.
@@ -97,6 +99,28 @@
 	}
 }
 
+// Guards against a notice that waits for an address at which the platform is no more.
+func TestNoticesFollowTheMove(t *testing.T) {
+	const moved = 500 * time.Millisecond
+	for name, act := range map[string]reaction{"silent": {silent: true}, "errors": {status: http.StatusServiceUnavailable}} {
+		t.Run(name, func(t *testing.T) {
+			p, next := &memoryPlatform{react: func(_, _ int, _ time.Duration) reaction { return act }}, &memoryPlatform{}
+			inNoticeRig(t, p, func(g *noticeRig) {
+				g.add(secondAddr, next)
+				g.end("under way")
+				time.Sleep(moved)
+				g.end("behind")
+				g.post(func() { g.retune(fleet.File{Set: g.conf.Settings}, secondAddr) })
+				g.takenBy(next, moved, "under way", "behind")
+				posts := p.posted()
+				time.Sleep(2 * time.Minute)
+				want(t, "POSTs to the old address", p.posted()-posts, 0)
+				want(t, "connections open to the old address", p.openNow(), 0)
+			})
+		})
+	}
+}
+
 // Guards against bodies over the 64 KiB that one may have, and against more than one connection and one POST of a notice
 // where the platform answers at once.
 func TestManyNoticesAtOnce(t *testing.T) {
--- a/internal/relay/reload.go
+++ b/internal/relay/reload.go
@@ -96,6 +96,7 @@
 	if old, _ := r.platformAt.Get(); platform != old {
 		r.platformAt.Set(platform)
 		r.platform.CloseIdleConnections()
+		r.notices.conns.CloseIdleConnections()
 		slog.Info("discovery has moved", "to", platform)
 	}
 	if r.kept != nil { // the file is what is left where nothing agreed on can be acted by
