relay: a record that could not be written is tried again after 50 ms, by one timer

Besides, each failed attempt set a timer of its own, whose turn failed and set the next: they grew in number with every turn of the loop.

The next attempt comes after 50 ms, and one is set at a time.

--- a/internal/relay/books.go
+++ b/internal/relay/books.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"larchrouter/choice"
-	"larchrouter/internal/discovery"
 	"larchrouter/internal/journal"
 	"larchrouter/internal/remedy"
 )
@@ -48,6 +47,7 @@
 	untold  []notice // go out once they are recorded
 	owed    int      // notices
 	notices *noticeSender
+	flushes bool     // what could not be written is about to be tried again
 	copies  *copying // nil in a relay that copies nothing
 	// overflow is what the decisions have no room for; nil in a relay that keeps no backlog.
 	overflow *overflow
@@ -160,7 +160,7 @@
 	if len(r.records) > 0 {
 		if err := r.bind(r.records, 0, tell); err != nil {
 			slog.Error("not recorded", "records", len(r.records), "err", err, "remedy", remedy.Of(err))
-			time.AfterFunc(discovery.LongPause, func() { r.post(func() {}) })
+			r.flushAgain()
 			return
 		}
 		r.records = r.records[:0]
@@ -170,6 +170,18 @@
 	r.untold = nil
 }
 
+// rewriteIn is the time from a record that could not be written to the next attempt. What it ends waits for it.
+const rewriteIn = 50 * time.Millisecond
+
+// flushAgain has the loop take a turn, and so flush, in a while; one such turn at a time, however many attempts have failed.
+func (r *Relay) flushAgain() {
+	if r.flushes {
+		return
+	}
+	r.flushes = true
+	time.AfterFunc(rewriteIn, func() { r.post(func() { r.flushes = false }) })
+}
+
 // all has the ids, the oldest first.
 func (s *recent) all() []string {
 	return slices.DeleteFunc(slices.Concat(s.ring[min(s.next, len(s.ring)):], s.ring[:s.next]),
