--- a/internal/journal/compact.go
+++ b/internal/journal/compact.go
@@ -64,12 +64,12 @@
 	if j.f != nil {
 		j.f.Close()
 	}
-	j.f, j.size, j.order, j.broken = f, int64(len(buf)), order, nil
+	j.f, j.size, j.order, j.broken, j.uncut = f, int64(len(buf)), order, nil, false
 	return nil
 }
 
 // Break has nothing more be written: the file may be another process's by now. A compaction that goes well ends it.
-func (j *Journal) Break(err error) { j.broken = err }
+func (j *Journal) Break(err error) { j.broken, j.uncut = err, false }
 
 // Close gives the file up.
 func (j *Journal) Close() error { return j.f.Close() }
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -66,7 +66,8 @@
 	order   []place           // as taken on; ended ones are dropped by compaction, and an id may come again before that
 	places  uint64
 	damaged bool  // what was read had other bytes than were written
-	broken  error // a failed write could not be undone
+	broken  error // nothing can be written
+	uncut   bool  // for a failed write left half a record, which could not be cut back yet
 }
 
 // place is where a message stands in the order.
@@ -185,10 +186,19 @@
 	}
 }
 
+// usable tells why nothing can be written. Half a record that could not be cut back is cut back now, if that is possible again.
+func (j *Journal) usable() error {
+	if !j.uncut || j.f.Truncate(j.size) != nil {
+		return j.broken
+	}
+	j.broken, j.uncut = nil, false
+	return nil
+}
+
 // Append writes records and applies them. When it fails nothing was recorded.
 func (j *Journal) Append(recs ...Record) error {
-	if j.broken != nil {
-		return j.broken
+	if err := j.usable(); err != nil {
+		return err
 	}
 	var buf []byte
 	var grows, spare int64
@@ -221,6 +231,7 @@
 	if _, err := j.f.WriteAt(buf, j.size); err != nil {
 		// Half a record would hide all that follows it from a replay.
 		if terr := j.f.Truncate(j.size); terr != nil {
+			j.uncut = true
 			j.broken = onDisk("half a record was written, and could not be cut back", errors.Join(err, terr))
 		}
 		return onDisk("a record could not be written", err)
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -149,6 +149,44 @@
 	want(t, "entries after the next start", len(open(t, dir, 3e6).entries), 2)
 }
 
+// Guards against a journal that takes nothing more once the disk failed for a moment, over half a record that could not be cut
+// back then; against records behind that half, which a replay does not read; and against a cut of another process's file.
+func TestHalfARecordIsCutBackLater(t *testing.T) {
+	dir := t.TempDir()
+	j := open(t, dir, 3e6)
+	put(t, j, taken("a", 10))
+	good := j.f
+	ro, err := os.Open(j.path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ro.Close()
+	half := frame(nil, taken("b", 10))[:20]
+	if _, err := good.WriteAt(half, j.size); err != nil {
+		t.Fatal(err)
+	}
+	j.f = ro
+	for range 2 {
+		if err := j.Append(taken("b", 10)); err == nil {
+			t.Fatal("a write to a read-only file went well")
+		}
+	}
+	j.f = good
+	put(t, j, taken("c", 10), taken("d", 500))
+	want(t, "entries after the next start", len(open(t, dir, 3e6).entries), 3)
+
+	j = open(t, dir, 3e6)
+	good, j.f = j.f, ro
+	if err := j.Append(taken("e", 10)); err == nil {
+		t.Fatal("a write to a read-only file went well")
+	}
+	j.f = good
+	j.Break(errors.New("another process's"))
+	if err := j.Append(taken("e", 10)); err == nil {
+		t.Error("a record was written to a file that may be another process's")
+	}
+}
+
 func FuzzJournal(f *testing.F) {
 	good := frame(frame(nil, taken("a", 3)), Record{Op: OpTry, ID: "a"})
 	f.Add(good)
