--- /dev/null
+++ b/internal/relay/notice_sender.go
@@ -0,0 +1,127 @@
+package relay
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"log/slog"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"larchrouter/internal/discovery"
+)
+
+const (
+	// noticeTurn is how long a batch is alone under way. The next one then starts beside it, on a connection of its own: where
+	// the platform answers at once, all go one after the other on a single kept connection.
+	noticeTurn = 50 * time.Millisecond
+	// noticeBatches bounds the batches under way, and with noticeTries the connections.
+	noticeBatches = 3
+)
+
+// noticeSender sends queued notices to the platform, in batches, until it has accepted them. Whoever queues notices never
+// waits for the platform, and batches do not wait for one that gets no answer. Its connections serve nothing else: one that
+// has fallen silent for discovery must not hold up a notice.
+type noticeSender struct {
+	platform *discovery.At
+	conns    *http.Transport
+	accepted func([]notice) // is called, by any goroutine, with what the platform has accepted
+
+	mu      sync.Mutex
+	queue   []notice
+	arrived chan struct{} // holds a value once something is queued
+}
+
+func newNoticeSender(platform *discovery.At, dial dialFunc, accepted func([]notice)) *noticeSender {
+	s := &noticeSender{platform: platform, accepted: accepted, arrived: make(chan struct{}, 1)}
+	s.conns = &http.Transport{DisableCompression: true, IdleConnTimeout: idleIn, MaxIdleConnsPerHost: 1,
+		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			return dial(attemptOf(ctx), network, addr)
+		}}
+	return s
+}
+
+// add queues notices. It does not block; what is queued is bounded by what the relay holds.
+func (s *noticeSender) add(notices []notice) {
+	s.mu.Lock()
+	s.queue = append(s.queue, notices...)
+	s.mu.Unlock()
+	select {
+	case s.arrived <- struct{}{}:
+	default: // run has not seen the last value yet
+	}
+}
+
+// run sends what is queued until the context ends.
+func (s *noticeSender) run(ctx context.Context) {
+	var deliveries sync.WaitGroup
+	defer s.conns.CloseIdleConnections()
+	defer deliveries.Wait()
+	slots := make(chan struct{}, noticeBatches)
+	for ctx.Err() == nil {
+		batch := s.nextBatch()
+		if len(batch.notices) == 0 {
+			select {
+			case <-s.arrived:
+			case <-ctx.Done():
+			}
+			continue
+		}
+		select {
+		case slots <- struct{}{}:
+		case <-ctx.Done():
+			return
+		}
+		done := make(chan struct{})
+		deliveries.Go(func() {
+			if err := s.deliver(ctx, batch); err == nil {
+				s.accepted(batch.notices)
+			}
+			<-slots
+			close(done)
+		})
+		select {
+		case <-done:
+		case <-time.After(noticeTurn):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// noticeBatch is what goes in one POST: a JSON object a line.
+type noticeBatch struct {
+	notices []notice
+	body    []byte
+}
+
+// nextBatch removes from the queue what one POST may hold, which may be nothing. Only run calls it.
+func (s *noticeSender) nextBatch() noticeBatch {
+	s.mu.Lock()
+	head := slices.Clone(s.queue[:min(len(s.queue), batchMost)])
+	s.mu.Unlock()
+	var body bytes.Buffer
+	lines := json.NewEncoder(&body)
+	var batch noticeBatch
+	taken := 0
+	for _, n := range head {
+		if err := lines.Encode(n); err != nil { // strings and numbers can be encoded; if not, the journal keeps it
+			slog.Error("notice not encoded", "id", n.ID, "err", err)
+			taken++
+			continue
+		}
+		if body.Len() > maxBody {
+			break
+		}
+		batch.notices, batch.body = append(batch.notices, n), body.Bytes()
+		taken++
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.queue = s.queue[taken:]; len(s.queue) == 0 {
+		s.queue = nil
+	}
+	return batch
+}
