--- a/internal/journal/compact.go
+++ b/internal/journal/compact.go
@@ -71,6 +71,15 @@
 // Break has nothing more be written: the file may be another process's by now. A compaction that goes well ends it.
 func (j *Journal) Break(err error) { j.broken, j.uncut = err, false }
 
+// usable tells why nothing can be written. Half a record that could not be cut back is cut back now, if that is possible again.
+func (j *Journal) usable() error {
+	if !j.uncut || j.f.Truncate(j.size) != nil {
+		return j.broken
+	}
+	j.broken, j.uncut = nil, false
+	return nil
+}
+
 // Close gives the file up.
 func (j *Journal) Close() error { return j.f.Close() }
 
--- /dev/null
+++ b/internal/journal/full_test.go
@@ -0,0 +1,46 @@
+package journal
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+)
+
+// Guards against a journal that takes on more messages than it has room for the history of: what it holds could then never
+// be ended, for that takes a record, too.
+func TestAFullJournalRecordsTheHistoryOfAllItHolds(t *testing.T) {
+	for _, size := range []int{0, 300, 3000} {
+		j, err := Open(t.TempDir(), 3e6)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer j.Close()
+		held := 0
+		for ; ; held++ {
+			err := j.Append(Record{Op: OpTaken, Entry: &Entry{ID: fmt.Sprintf("%016x", held), Class: "payment", Dest: 7, Due: 1764655555555, Body: make([]byte, size)}})
+			if errors.Is(err, ErrFull) {
+				break
+			}
+			if err != nil {
+				t.Fatal(err)
+			}
+		}
+		of := func(what string, recs func(id string) []Record) {
+			for n := range held {
+				if err := j.Append(recs(fmt.Sprintf("%016x", n))...); err != nil {
+					t.Fatalf("bodies of %d bytes, %d held: %s of message %d: %v", size, held, what, n, err)
+				}
+			}
+		}
+		for range 8 {
+			of("attempt", func(id string) []Record {
+				return []Record{{Op: OpTry, ID: id, At: 1764655555555, Wait: 12345, Zone: 2}, {Op: OpOutcome, ID: id, Ran: true}}
+			})
+		}
+		of("notice", func(id string) []Record {
+			return []Record{{Op: OpNotice, ID: id, Status: "undeliverable", Again: 2000}}
+		})
+		of("end", func(id string) []Record { return []Record{{Op: OpEnd, ID: id}} })
+		t.Logf("bodies of %d bytes: %d held", size, held)
+	}
+}
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -186,15 +186,6 @@
 	}
 }
 
-// usable tells why nothing can be written. Half a record that could not be cut back is cut back now, if that is possible again.
-func (j *Journal) usable() error {
-	if !j.uncut || j.f.Truncate(j.size) != nil {
-		return j.broken
-	}
-	j.broken, j.uncut = nil, false
-	return nil
-}
-
 // Append writes records and applies them. When it fails nothing was recorded.
 func (j *Journal) Append(recs ...Record) error {
 	if err := j.usable(); err != nil {
@@ -218,8 +209,15 @@
 		}
 	}
 	n := int64(len(buf))
-	// The file and its compacted copy must fit together at any time.
-	fits := func() bool { return j.size+n+j.live+grows+spare <= j.budget }
+	// The file and its compacted copy must fit together at any time. What is taken on must leave that so once everything
+	// held has all of its history: a record of its end could not be written otherwise.
+	fits := func() bool {
+		file, live := j.size+n, j.live+grows
+		if spare > 0 {
+			file = max(file, live)
+		}
+		return file+live+spare <= j.budget
+	}
 	if !fits() {
 		if err := j.Compact(); err != nil {
 			return err
