--- a/internal/relay/books.go
+++ b/internal/relay/books.go
@@ -140,6 +140,10 @@
 	r.past.add(m.ID)
 }
 
+// recordsAtOnce bounds the records of one write: the journal keeps room for about so many beyond what it holds, and makes
+// room by what they end.
+const recordsAtOnce = 64
+
 // flush records what has ended. What cannot be written now is kept, and no notice
 // goes out before it is: a client told to come again, and a restart that takes the
 // message up again, would deliver it twice.
@@ -147,35 +151,59 @@
 	if r.heir != nil {
 		return // the journal is the next process's
 	}
-	var tell func(counts bool)
-	if len(r.untold) > 0 {
-		untold := r.untold
-		tell = func(counts bool) {
-			if !counts { // another relay ends them
-				r.owed -= len(untold)
-				return
-			}
-			for _, n := range untold {
-				if n.class != "" {
-					r.figures.ended(n.class, n.how())
-				}
-			}
-			r.notices.add(untold)
+	all := r.records
+	for len(r.records) > 0 {
+		part := r.records[:min(len(r.records), recordsAtOnce)]
+		notices := r.noticesOf(part)
+		var then func(counts bool)
+		if len(notices) > 0 {
+			then = func(counts bool) { r.sendNotices(notices, counts) }
 		}
-	}
-	if len(r.records) > 0 {
-		if err := r.bind(r.records, 0, tell); err != nil {
+		if err := r.bind(part, 0, then); err != nil {
 			slog.Error("not recorded", "records", len(r.records), "err", err, "remedy", remedy.Of(err))
 			r.flushAgain()
 			return
 		}
-		r.records = r.records[:0]
-	} else if tell != nil {
-		tell(true)
+		r.records = r.records[len(part):]
+		r.untold = r.untold[len(notices):]
+	}
+	r.records = all[:0]
+	if len(r.untold) > 0 { // an earlier process recorded them
+		r.sendNotices(r.untold, true)
 	}
 	r.untold = nil
 }
 
+// noticesOf are the first of the notices that wait, up to the last one that some records are of. Notices wait in the order
+// of their records.
+func (r *Relay) noticesOf(records []journal.Record) []notice {
+	count := 0
+	for _, record := range records {
+		if record.Op != journal.OpNotice {
+			continue
+		}
+		for count < len(r.untold) && r.untold[count].ID != record.ID {
+			count++ // an earlier process recorded it
+		}
+		count++
+	}
+	return r.untold[:min(count, len(r.untold))]
+}
+
+// sendNotices has notices go out once their records count.
+func (r *Relay) sendNotices(notices []notice, counts bool) {
+	if !counts { // another relay ends them
+		r.owed -= len(notices)
+		return
+	}
+	for _, n := range notices {
+		if n.class != "" {
+			r.figures.ended(n.class, n.how())
+		}
+	}
+	r.notices.add(notices)
+}
+
 // rewriteIn is the time from a record that could not be written to the next attempt. What it ends waits for it.
 const rewriteIn = 50 * time.Millisecond
 
--- a/internal/relay/delay_test.go
+++ b/internal/relay/delay_test.go
@@ -13,7 +13,7 @@
 
 const (
 	answerPatience = 400 * time.Millisecond // a client waits so long for its answer
-	noticeLimit    = 350 * time.Millisecond // a message may end so long after its time
+	endLimit       = 350 * time.Millisecond // a message may end so long after its time
 )
 
 // withoutCore stops a process for a while, as a machine does that has no core for it, and tells whether this test's own
@@ -84,7 +84,7 @@
 	for range 2 {
 		n := wait(t, p.notices, "notice")
 		due := map[string]time.Time{"kept": first, "fresh": second}[n.ID].Add(left)
-		if late := time.Since(due); late > noticeLimit-answerPatience/2 {
+		if late := time.Since(due); late > endLimit-answerPatience/2 {
 			t.Errorf("the end of %s was told %v after its time, though the relay had a core since long before", n.ID, late)
 		}
 	}
@@ -138,7 +138,7 @@
 	valid = withoutCore(t, cmd, answerPatience)
 	for range messages {
 		e := wait(t, ends, "notice")
-		if late := e.at.Sub(due[e.id]); valid && late > noticeLimit {
+		if late := e.at.Sub(due[e.id]); valid && late > endLimit {
 			t.Errorf("the end of %s was told %v after its time", e.id, late)
 		}
 	}
