relay: a test of real processes that share few cores, in which messages were lost

Ten relays of four threads each on two cores, restarted by SIGTERM, SIGKILL and upgrade; a platform whose connections fall silent after eight POSTs of notices, endpoints of which half or none answers; clients that keep their connections, pipeline, half close and come again. A round in which the test's own timers were late is void and played again.

What lack of a core alone does is in the tests of delay_test.go.

--- /dev/null
+++ b/internal/relay/contended_test.go
@@ -0,0 +1,214 @@
+package relay
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Guards the rule on lost messages with real processes: ten relays of four threads each on two cores, a platform whose
+// connections fall silent, endpoints that do not answer, restarts of every kind, and clients that keep their connections,
+// pipeline, half close and come again. Every message that was answered with 202 is delivered or ended by a notice in time.
+func TestNothingIsLostWithMoreRelaysThanCores(t *testing.T) {
+	for range 5 {
+		valid := false
+		t.Run("round", func(t *testing.T) { valid = contended(t) })
+		if valid || t.Failed() {
+			return
+		}
+	}
+	t.Fatal("this machine's timers were late in each round")
+}
+
+// standInSlack is how late this process's own timers may be, and with them its clients, endpoints and platform: less than
+// the relays have to spare.
+const standInSlack = 100 * time.Millisecond
+
+func contended(t *testing.T) (valid bool) {
+	const relays, clients, lasts = 10, 4, 10 * time.Second
+	told := newOutcomes()
+	some, none := at("s-1", endpoint(t, told, 0.5), "taller"), at("s-2", endpoint(t, told, 0), "almacen")
+	none.Cell = 8
+	p := newPlatform(t, some, none)
+	config := strings.NewReplacer(p.addr(), startNoticeTaker(t, told, p), `"workers":7`, `"workers":40`,
+		`"most-held":50`, `"most-held":500`, `"cores":1`, `"cores":4`).Replace(string(testConfig(t, p)))
+	var cores unix.CPUSet
+	cores.Set(0)
+	cores.Set(1)
+	fleet := make([]*restarted, relays)
+	for i := range fleet {
+		fleet[i] = newRestarted(t, i, config, cores)
+		fleet[i].start(t)
+	}
+	var late atomic.Int64
+	stop := make(chan struct{})
+	var running sync.WaitGroup
+	running.Go(func() { watchTimers(stop, &late) })
+	for _, r := range fleet {
+		for k := range clients {
+			c := &contendedClient{relay: r, number: k, told: told, rng: rand.New(rand.NewPCG(uint64(r.number), uint64(k)))}
+			running.Go(func() { c.run(stop) })
+		}
+	}
+	for k, end := 0, time.Now().Add(lasts); time.Now().Before(end); k++ {
+		time.Sleep(300 * time.Millisecond)
+		switch r := fleet[k%relays]; k % 3 {
+		case 0:
+			r.restart(t, syscall.SIGTERM)
+		case 1:
+			r.restart(t, syscall.SIGKILL)
+		case 2:
+			r.upgrade(t)
+		}
+	}
+	time.Sleep(2 * time.Second) // what a restart has left is told
+	close(stop)
+	running.Wait()
+	time.Sleep(longestTime + 2*time.Second)
+	if time.Duration(late.Load()) > standInSlack {
+		t.Logf("this machine's timers were late by %v", time.Duration(late.Load()))
+		return false
+	}
+	told.check(t, fleet)
+	return true
+}
+
+// watchTimers notes by how much this process's own timers are late at most.
+func watchTimers(stop chan struct{}, late *atomic.Int64) {
+	const each = 5 * time.Millisecond
+	for begin := time.Now(); ; begin = time.Now() {
+		select {
+		case <-stop:
+			return
+		case <-time.After(each):
+			late.Store(max(late.Load(), int64(time.Since(begin)-each)))
+		}
+	}
+}
+
+func (o *outcomes) check(t *testing.T, fleet []*restarted) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	lost := 0
+	for id, p := range o.promised {
+		at, ok := o.ended[id]
+		if limit := fleet[p.relay].limit(p); ok && !at.After(limit) {
+			continue
+		}
+		if lost++; lost <= 10 {
+			t.Errorf("%s was told 202: ended %v, %v after its time", id, ok, at.Sub(p.due))
+		}
+	}
+	if len(o.promised) < 1000 {
+		t.Errorf("only %d messages were taken on", len(o.promised))
+	}
+	t.Logf("%d of %d messages lost", lost, len(o.promised))
+}
+
+const (
+	shortestTime = 500 * time.Millisecond // of a message
+	longestTime  = 1500 * time.Millisecond
+)
+
+// contendedClient hands in messages one after the other, in each of the ways that clients have.
+type contendedClient struct {
+	relay  *restarted
+	number int
+	told   *outcomes
+	rng    *rand.Rand
+	sent   int
+	conn   *net.TCPConn
+	in     *bufio.Reader
+}
+
+func (c *contendedClient) run(stop chan struct{}) {
+	defer c.leave()
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(time.Duration(c.rng.IntN(100)) * time.Millisecond):
+		}
+		if c.conn == nil && c.connect() != nil {
+			continue
+		}
+		var err error
+		switch c.rng.IntN(10) {
+		case 0:
+			err = c.hand(2, false) // one request behind the other
+		case 1:
+			err = errors.Join(c.hand(1, true), errLeft)
+		default:
+			err = c.hand(1, false)
+		}
+		if err != nil {
+			c.leave()
+		}
+	}
+}
+
+var errLeft = errors.New("the client has left")
+
+func (c *contendedClient) connect() error {
+	conn, err := net.DialTimeout("tcp", c.relay.addr, answerPatience)
+	if err != nil {
+		return err
+	}
+	c.conn = conn.(*net.TCPConn)
+	c.in = bufio.NewReader(conn)
+	return nil
+}
+
+func (c *contendedClient) leave() {
+	if c.conn != nil {
+		c.conn.Close()
+		c.conn = nil
+	}
+}
+
+// hand writes some requests at once, and reads their answers.
+func (c *contendedClient) hand(requests int, halfClose bool) error {
+	var text strings.Builder
+	var ids []string
+	var left []time.Duration
+	for range requests {
+		c.sent++
+		ids = append(ids, fmt.Sprintf("%d-%d-%d", c.relay.number, c.number, c.sent))
+		left = append(left, shortestTime+time.Duration(c.rng.Int64N(int64(longestTime-shortestTime))))
+		fmt.Fprintf(&text, "POST /api HTTP/1.1\r\nHost: x\r\nX-Request-Id: %s\r\nX-Class: %s\r\nX-Deadline-Ms: %d\r\n"+
+			"X-Addressing: dest=%d\r\nContent-Length: 2\r\n\r\nhi", ids[len(ids)-1], []string{"payment", "status-update"}[c.rng.IntN(2)],
+			left[len(left)-1].Milliseconds(), 7+c.rng.IntN(2))
+	}
+	if _, err := c.conn.Write([]byte(text.String())); err != nil {
+		return err
+	}
+	sent := time.Now()
+	if halfClose {
+		c.conn.CloseWrite()
+	}
+	c.conn.SetReadDeadline(sent.Add(answerPatience))
+	for i, id := range ids {
+		status, closes, err := answered(c.in)
+		if err != nil {
+			return err
+		}
+		if status == http.StatusAccepted {
+			c.told.promise(id, promise{relay: c.relay.number, due: sent.Add(left[i])})
+		}
+		if closes {
+			return errLeft
+		}
+	}
+	return nil
+}
