relay: nothing is taken on while earlier records wait to be written

A message whose end by withdrawal could not be written yet, and whose id came again, was recorded and answered 202 before that end. Calls already waited for earlier records; both now go through bindInOrder. A flush fails while a small record fits where many records end at once on a nearly full disk.

TestNothingIsTakenOnBeforeEarlierRecordsAreWritten: 202 in place of 503 without the change.

--- a/internal/relay/books.go
+++ b/internal/relay/books.go
@@ -134,6 +134,15 @@
 	r.past.add(m.ID)
 }
 
+// bindInOrder records what something new depends on, unless earlier records could not be written yet: written after it,
+// the end of an earlier message would end a new one of the same id, and an outcome would be taken for that of a new attempt.
+func (r *Relay) bindInOrder(recs []journal.Record, most time.Duration, then func(counts bool)) error {
+	if len(r.records) > 0 {
+		return errUnwritten
+	}
+	return r.bind(recs, most, then)
+}
+
 // flush records what has ended. What cannot be written now is kept, and no notice
 // goes out before it is: a client told to come again, and a restart that takes the
 // message up again, would deliver it twice.
--- a/internal/relay/step.go
+++ b/internal/relay/step.go
@@ -62,12 +62,17 @@
 		}
 	}
 	r.flush()
+	r.takeOn()
+	r.dispatch(sends)
+}
+
+// takeOn records what came since the last step, and answers its clients. Only what is in the journal is taken on.
+func (r *Relay) takeOn() {
 	for _, m := range r.fresh {
 		if m.over {
 			continue
 		}
-		// Only what is in the journal is taken on.
-		err := r.bind([]journal.Record{{Op: journal.OpTaken, Entry: m.Entry}}, countIn, func(counts bool) {
+		err := r.bindInOrder([]journal.Record{{Op: journal.OpTaken, Entry: m.Entry}}, countIn, func(counts bool) {
 			switch {
 			case m.over:
 			case counts:
@@ -83,7 +88,6 @@
 		}
 	}
 	r.fresh = r.fresh[:0]
-	r.dispatch(sends)
 }
 
 // arm sets the timer for the earliest wake-up asked for. One that fell due, but whose tick
@@ -145,13 +149,9 @@
 		for i, m := range c.members {
 			recs = append(recs, journal.Record{Op: journal.OpTry, ID: m.ID, At: wall, Wait: c.sends[i].Timeout.Milliseconds(), Zone: c.host.zone})
 		}
-		// An attempt that a restart would not know of must not go out, nor one whose record
-		// would come before an outcome that could not be written yet.
-		err := errUnwritten
-		if len(r.records) == 0 {
-			written := time.Now()
-			err = r.bind(recs, freshIn, func(counts bool) { r.startCounted(c, written, counts) })
-		}
+		// An attempt that a restart would not know of must not go out.
+		written := time.Now()
+		err := r.bindInOrder(recs, freshIn, func(counts bool) { r.startCounted(c, written, counts) })
 		if err != nil {
 			slog.Error("attempts not sent", "err", err, "remedy", remedy.Of(err))
 			r.unsent(c)
