relay: a message is withdrawn only with its end on record

The client that had ended its sending heard 503 before the end of its message was written. Where it could not be written, or a kill came first, the next start delivered the message, and the client, told that this does no harm, handed it in again: for a class that may not be repeated a second effect. And the id was free for a new message while its end waited. The end is now written at once; a message whose end cannot be written goes on, and its client hears 202. The part moves to withdraw.go.

--- a/internal/relay/intake.go
+++ b/internal/relay/intake.go
@@ -59,17 +59,7 @@
 		}
 	}
 	if a.status == http.StatusAccepted && req.Context().Err() != nil {
-		// The client left without an answer and may hand the message in again under another id.
-		// One that only ended its sending still reads: it is not told 202 of what is given up here.
-		gone := make(chan bool, 1)
-		r.post(func() { gone <- r.withdraw(in.entry.ID) || r.withdrawStored(in.entry) })
-		select {
-		case withdrawn := <-gone:
-			if withdrawn {
-				a = answer{status: http.StatusServiceUnavailable, after: comeBack, text: "withdrawn"}
-			}
-		case <-r.halted: // the journal has it
-		}
+		a = r.afterLeaving(in)
 	}
 	r.leave(w)
 	if a.after > 0 {
@@ -219,19 +209,3 @@
 			Left: in.due - r.now(), Key: in.entry.Order, Tenant: slices.Index(set.TenantNames, in.entry.Tenant)})
 	}
 }
-
-// withdraw ends a message whose client left unanswered: it may hand it in again under
-// another id, and tells whether it did. One that was sent, or came twice, goes on; its id
-// may still be in use.
-func (r *Relay) withdraw(id string) bool {
-	m := r.held[id]
-	if r.heir != nil || m == nil || m.Tries > 0 || m.twice {
-		return false
-	}
-	r.events = append(r.events, choice.Withdrawn{ID: id})
-	r.record(journal.Record{Op: journal.OpEnd, ID: id})
-	m.over = true
-	delete(r.held, id)
-	r.overflow.leave(m, r.now())
-	return true
-}
--- /dev/null
+++ b/internal/relay/withdraw.go
@@ -0,0 +1,50 @@
+package relay
+
+import (
+	"log/slog"
+	"net/http"
+
+	"larchrouter/choice"
+	"larchrouter/internal/journal"
+	"larchrouter/internal/remedy"
+)
+
+// afterLeaving is the answer to a client that ended its sending, or left, before it was told that its message is taken on:
+// it may hand the message in again under another id. One that only ended its sending still reads, and must not be told 202 of
+// what is given up here, nor that it may come again with what is not.
+func (r *Relay) afterLeaving(in *intake) answer {
+	said := make(chan answer, 1)
+	r.post(func() {
+		if r.withdraw(in.entry.ID) || r.withdrawStored(in.entry) {
+			said <- answer{status: http.StatusServiceUnavailable, after: comeBack, text: "withdrawn"}
+		} else {
+			said <- answer{status: http.StatusAccepted}
+		}
+	})
+	select {
+	case a := <-said:
+		return a
+	case <-r.halted: // what the loop has said by then holds: the record says so
+	}
+	return answer{status: http.StatusAccepted}
+}
+
+// withdraw ends a message whose client left unanswered: it may hand it in again under
+// another id, and tells whether it did. One that was sent, or came twice, goes on; its id
+// may still be in use. So does one whose end cannot be recorded at once: the next start would deliver it.
+func (r *Relay) withdraw(id string) bool {
+	m := r.held[id]
+	if r.heir != nil || m == nil || m.Tries > 0 || m.twice {
+		return false
+	}
+	r.flush()
+	if err := r.bindInOrder([]journal.Record{{Op: journal.OpEnd, ID: id}}, 0, nil); err != nil {
+		slog.Error("message not withdrawn", "err", err, "remedy", remedy.Of(err))
+		return false
+	}
+	r.events = append(r.events, choice.Withdrawn{ID: id})
+	m.over = true
+	delete(r.held, id)
+	r.overflow.leave(m, r.now())
+	return true
+}
