relay: a message that is on record is not recorded again

After a start an id whose notice was still owed was not known any more.

The same befalls an id that was pushed out of the 4,096 remembered while up to 8,192 notices are owed, and, with copies, a message of an estate that is not taken up yet. What is on record and not held is now answered by that record.

TestAMessageWhoseNoticeIsOwedIsNotTakenOnAnew: held once more without the change, in both forms; TestAMessageThatIsOnRecordIsNotRecordedAgain: 202 in place of 503 without it.

--- a/internal/relay/books.go
+++ b/internal/relay/books.go
@@ -80,6 +80,7 @@
 	id := e.ID
 	if e.Status != "" {
 		r.owe(notice{ID: e.ID, Status: e.Status, Again: e.Again})
+		r.past.add(e.ID)
 		return
 	}
 	if e.Out && r.heritage.callOf(id) == nil {
--- a/internal/relay/intake.go
+++ b/internal/relay/intake.go
@@ -187,6 +187,8 @@
 	case r.liesOnDisk(in):
 	case r.past.has(id):
 		in.reply <- answer{status: http.StatusAccepted}
+	case r.journal.Entry(id) != nil:
+		r.answerRecorded(in, r.journal.Entry(id))
 	case err != nil:
 		in.reply <- answer{status: http.StatusBadRequest, text: err.Error()}
 	case r.dests[in.entry.Dest] == nil:
--- a/internal/relay/record_order_test.go
+++ b/internal/relay/record_order_test.go
@@ -97,3 +97,54 @@
 	want(t, "m1 is on record", j.Entry("m1") != nil, true)
 	want(t, "messages on record", j.Len(), 1)
 }
+
+// Guards against taking on anew, after a restart, a message that has ended and whose notice is still owed: the record of that
+// notice would end the new one, too. More notices may be owed than ids are remembered.
+func TestAMessageWhoseNoticeIsOwedIsNotTakenOnAnew(t *testing.T) {
+	for name, forget := range map[string]bool{"remembered": false, "forgotten": true} {
+		state := t.TempDir()
+		j, err := journal.Open(state, 3e6)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := j.Append(journal.Record{Op: journal.OpTaken, Entry: &journal.Entry{ID: "m1", Class: "payment", Dest: 7}},
+			journal.Record{Op: journal.OpNotice, ID: "m1", Status: undeliverable}); err != nil {
+			t.Fatal(err)
+		}
+		j.Close()
+		r := unserved(t, newPlatform(t, leavingHost()), state)
+		if forget {
+			r.past = recent{}
+		}
+		in := request(t, r, context.Background(), "m1", "payment", time.Minute)
+		r.take(in)
+		r.step()
+		want(t, name+": status", status(in), http.StatusAccepted)
+		want(t, name+": messages held", len(r.held), 0)
+		want(t, name+": notices owed", r.owed, 1)
+		r.record(journal.Record{Op: journal.OpEnd, ID: "m1"}) // the platform has taken it
+		r.step()
+		want(t, name+": messages on record", r.journal.Len(), 0)
+		again := request(t, r, context.Background(), "m1", "payment", time.Minute)
+		r.take(again)
+		r.step()
+		want(t, name+": held, once the notice is told", len(r.held), map[bool]int{false: 0, true: 1}[forget])
+		want(t, name+": on record, once the notice is told", r.journal.Len(), len(r.held))
+	}
+}
+
+// Guards against recording a message a second time while it is not known whether this relay is to deliver the one on record.
+func TestAMessageThatIsOnRecordIsNotRecordedAgain(t *testing.T) {
+	r := unserved(t, newPlatform(t, leavingHost()), t.TempDir())
+	for class, said := range map[string]int{"status-update": http.StatusServiceUnavailable, "payment": http.StatusInternalServerError} {
+		first := request(t, r, context.Background(), class, class, time.Minute)
+		if err := r.journal.Append(journal.Record{Op: journal.OpTaken, Entry: first.entry}); err != nil {
+			t.Fatal(err)
+		}
+		in := request(t, r, context.Background(), class, class, time.Minute)
+		r.take(in)
+		r.step()
+		want(t, class, status(in), said)
+		want(t, "messages held", len(r.held), 0)
+	}
+}
--- a/internal/relay/withdraw.go
+++ b/internal/relay/withdraw.go
@@ -53,3 +53,13 @@
 	r.overflow.leave(m, r.now())
 	return true
 }
+
+// answerRecorded answers a client whose message is on record, but not held. It must not be recorded a second time: the end
+// of the one on record would end both. One whose notice is owed has ended; of any other it is not known yet who delivers it.
+func (r *Relay) answerRecorded(in *intake, e *journal.Entry) {
+	if e.Status != "" {
+		in.reply <- answer{status: http.StatusAccepted}
+		return
+	}
+	r.answerUncounted(&message{Entry: e, fresh: []*intake{in}})
+}
