relay: a client that has ended its sending hears of a message that is held

Whether the client is there was looked at first: the second connection with a message that is held, or has ended, was answered 503 if its client had ended its sending, and the client could hand in once more what is delivered. It is now looked at only for a message that is new. TestTheSameMessageOnTwoConnections has its client leave one look earlier in the one order in which that look falls away.

TestASecondConnectionHearsOfWhatIsHeld: 503 in place of 202 without the change.

--- a/internal/relay/intake.go
+++ b/internal/relay/intake.go
@@ -174,8 +174,6 @@
 		r.pass(in)
 	case r.heirConn != nil && r.copies != nil: // the next process is to have all that counts first
 		r.deferred = append(r.deferred, in)
-	case in.ctx.Err() != nil: // the client has gone; its handler still waits, and holds the connection
-		in.reply <- refuse
 	case r.held[id] != nil: // the client sent it again after its connection broke
 		m := r.held[id]
 		m.twice = true
@@ -189,6 +187,8 @@
 		in.reply <- answer{status: http.StatusAccepted}
 	case r.journal.Entry(id) != nil:
 		r.answerRecorded(in, r.journal.Entry(id))
+	case in.ctx.Err() != nil: // the client has gone; its handler still waits, and holds the connection
+		in.reply <- refuse
 	case err != nil:
 		in.reply <- answer{status: http.StatusBadRequest, text: err.Error()}
 	case r.dests[in.entry.Dest] == nil:
