relay: the time that is left to a message is told as of the step

What is left was taken as a message came to the loop, or as a start took it up, and the decisions counted it from their next step. Whatever lay between, a start that has yet to serve or a process without a core, came on top of the message's time, so its end was late by that, and a repeat could go as much after its window. Each step now tells the time as it stands.

TestTimeRunsBeforeTheStep: held beyond its time without the change; TestARestoredMessageRanAsLongAgoAsItDid.

--- a/internal/relay/step.go
+++ b/internal/relay/step.go
@@ -37,6 +37,7 @@
 	}
 	events, now := r.events, r.now()
 	r.events = nil
+	r.timeFrom(now, events)
 	if r.woken {
 		r.woken, r.wakeAt = false, 0
 	}
--- a/internal/relay/takeup.go
+++ b/internal/relay/takeup.go
@@ -34,6 +34,36 @@
 	})
 }
 
+// timeFrom has messages come to the decisions with the time that is left to them at a step. It may be long after they came to
+// the loop: a start takes up what the journal holds before it serves, and a process may get no core meanwhile.
+func (r *Relay) timeFrom(now time.Duration, events []choice.Event) {
+	for i, event := range events {
+		switch e := event.(type) {
+		case choice.Arrival:
+			if m := r.held[e.ID]; m != nil {
+				e.Left = m.due - now
+				events[i] = e
+			}
+		case choice.Restored:
+			if m := r.held[e.ID]; m != nil {
+				events[i] = restoredAt(e, m.due-now)
+			}
+		}
+	}
+}
+
+// restoredAt is what is known of a message that was taken up, once only so much time is left to it.
+func restoredAt(e choice.Restored, left time.Duration) choice.Restored {
+	late := e.Left - left
+	e.Left, e.RanAgo = left, e.RanAgo+late
+	if e.Out != nil {
+		out := *e.Out
+		out.Ago += late
+		e.Out = &out
+	}
+	return e
+}
+
 // lastLook is how long before its time is up a message ends that another process may still have out.
 const lastLook = 100 * time.Millisecond
 
