relay: an adopted call ends with its message's time

The calls that the process before this one has out ended by its word, or as it died. If it hangs, or gets no core, the message had no end at all: no notice until that process is killed. The time is now kept here, too, with 0.1 s for that word to come.

--- a/internal/relay/inherit.go
+++ b/internal/relay/inherit.go
@@ -120,6 +120,7 @@
 	l := newLink(h.conn, h.in)
 	for id, c := range h.calls {
 		c.cancel = func(error) { l.send(returned{Cancel: id}) }
+		r.endInTime(h, id, c)
 	}
 	go func() {
 		hear(l, func(v passed) {
@@ -141,6 +142,22 @@
 	}()
 }
 
+// wordIn is for the word of the process before this one on a call whose message's time is up. The end of the message is owed
+// 300 ms after that time.
+const wordIn = 100 * time.Millisecond
+
+// endInTime ends an attempt of the process before this one once its message's time is up: that process may get no core, or
+// hang, and the end is owed by this one.
+func (r *Relay) endInTime(h *heritage, id string, c *call) {
+	m := r.held[id]
+	if m == nil {
+		return
+	}
+	time.AfterFunc(m.due-r.now()+wordIn, func() {
+		r.post(func() { r.endedBefore(h, endPassed{ID: id, Outcome: choice.Timeout, Took: time.Since(c.began)}) })
+	})
+}
+
 // orphaned ends the calls that were still out as the process before this one ended. They may have
 // run, but were broken off on this side: that is not held against their hosts as a reset would be.
 func (r *Relay) orphaned(h *heritage) {
--- a/internal/relay/restart_test.go
+++ b/internal/relay/restart_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"larchrouter/choice"
@@ -56,3 +57,41 @@
 	want(t, "since it went out", e.Out.Ago, 6*time.Second)
 	want(t, "the same, before", before.Out.Ago, 2*time.Second)
 }
+
+// Guards against a message that has no end because the process before this one, which has its call out, hangs.
+func TestAnAdoptedCallEndsWithItsMessagesTime(t *testing.T) {
+	calls := make(chan *seen, 10)
+	p := newPlatform(t, at("s-1", fakeHost(t, "a", calls), "taller"))
+	old := startRelay(t, p, withAdmin)
+	up(t, old.Addr())
+	status, _ := hand(t, old.Addr(), "m1", "payment", "X-Deadline-Ms", "2000")
+	want(t, "status", status, http.StatusAccepted)
+	wait(t, calls, "call")
+	next := upgrade(t, p, old)
+	hangs := make(chan struct{})
+	old.post(func() { <-hangs })
+	want(t, "notice", wait(t, p.notices, "notice"), notice{ID: "m1", Status: undeliverable})
+	close(hangs)
+	shows(t, next, "svc.requests.payment.failed=1", "svc.in_flight=0")
+	want(t, "further calls", len(calls), 0)
+}
+
+// Guards against two ends of an adopted call: by its message's time, and by the word that comes after that.
+func TestLateWordOfAnAdoptedCallIsNoSecondEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := &Relay{began: time.Now(), inbox: make(chan func(), 1), quit: make(chan struct{}), books: books{held: map[string]*message{}}}
+		r.set.Store(&standing{})
+		c := &call{host: &host{id: "s-1"}, began: time.Now()}
+		m := &message{Entry: &journal.Entry{ID: "m1"}, due: time.Second, call: c}
+		r.held["m1"] = m
+		h := &heritage{calls: map[string]*call{"m1": c}}
+		r.endInTime(h, "m1", c)
+		(<-r.inbox)()
+		want(t, "it ends after", r.now(), time.Second+wordIn)
+		want(t, "outcome", r.events[0].(choice.Result).Outcome, choice.Timeout)
+		r.endedBefore(h, endPassed{ID: "m1", Outcome: choice.Served})
+		want(t, "ends", len(r.events), 1)
+		want(t, "it may have run", r.records[0], journal.Record{Op: journal.OpOutcome, ID: "m1", Ran: true})
+		want(t, "records", len(r.records), 1)
+	})
+}
