relay: a message that the process before passes on keeps its time on its way

What was left to it as it was passed was counted from when it arrived: its end was late by its way through the link, however long either process had no core.

--- a/internal/relay/restart_test.go
+++ b/internal/relay/restart_test.go
@@ -95,3 +95,13 @@
 		want(t, "records", len(r.records), 1)
 	})
 }
+
+// Guards against an end that is late by what a message took from the process that it came to.
+func TestAPassedMessagesTimeRunsOnItsWay(t *testing.T) {
+	r := unserved(t, newPlatform(t, leavingHost()), t.TempDir())
+	in := request(t, r, context.Background(), "m1", "payment", time.Minute)
+	r.takePassed(nil, passed{N: 1, Take: in.entry, Left: 2 * time.Minute}) // a minute ago
+	if left := r.held["m1"].due - r.now(); left > time.Minute {
+		t.Errorf("%v are left, want a minute at most", left)
+	}
+}
