--- a/internal/relay/restart_test.go
+++ b/internal/relay/restart_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -69,9 +70,11 @@
 	wait(t, calls, "call")
 	next := upgrade(t, p, old)
 	hangs := make(chan struct{})
+	goOn := sync.OnceFunc(func() { close(hangs) })
+	t.Cleanup(goOn) // before the one that stops it
 	old.post(func() { <-hangs })
 	want(t, "notice", wait(t, p.notices, "notice"), notice{ID: "m1", Status: undeliverable})
-	close(hangs)
+	goOn()
 	shows(t, next, "svc.requests.payment.failed=1", "svc.in_flight=0")
 	want(t, "further calls", len(calls), 0)
 }
