--- a/internal/relay/restart_test.go
+++ b/internal/relay/restart_test.go
@@ -12,8 +12,8 @@
 	"larchrouter/internal/journal"
 )
 
-// left is a folder with a journal of these records.
-func left(t *testing.T, recs ...journal.Record) string {
+// folderWith is a folder with a journal of these records.
+func folderWith(t *testing.T, recs ...journal.Record) string {
 	t.Helper()
 	state := t.TempDir()
 	j, err := journal.Open(state, 3e6)
@@ -34,7 +34,7 @@
 // decisions hear of it: at a start, which takes up the journal before it serves, and for what clients hand in.
 func TestTimeRunsBeforeTheStep(t *testing.T) {
 	for class, status := range map[string]string{"payment": deferred, "status-update": deferred} {
-		r := unserved(t, newPlatform(t, leavingHost()), left(t, journal.Record{Op: journal.OpTaken,
+		r := unserved(t, newPlatform(t, leavingHost()), folderWith(t, journal.Record{Op: journal.OpTaken,
 			Entry: &journal.Entry{ID: "m1", Class: class, Dest: 7, Due: time.Now().Add(time.Minute).UnixMilli()}}))
 		later(r, time.Minute)
 		r.step()
