relay: an answer that tells of a message in two ways leaves it unsure

Of several lines for one message in the answer to a shared call the last one held: "ok" and then "later" had a message that may not be repeated sent again. It now counts as one that may have run.

TestAnAnswerThatContradictsItself: refused in place of error without the change. TestAnAnswerInTheInstantOfAMembersEnd pins both orders in which a member's end and the answer reach the loop; it passed before, too.

--- a/internal/relay/answers.go
+++ b/internal/relay/answers.go
@@ -37,23 +37,31 @@
 	return end{outcome: choice.Error}
 }
 
-// batchEnds reads the answer of a call with several messages. One that is not told of may have run.
+// toldOf reads what the answer of a call with several messages tells of one.
+func toldOf(what string) end {
+	switch what {
+	case "ok":
+		return end{outcome: choice.Served}
+	case "later":
+		return end{outcome: choice.Refused}
+	case "gone":
+		return end{outcome: choice.NotSent, done: true}
+	case "exhausted":
+		return end{outcome: choice.NotSent}
+	}
+	return end{outcome: choice.Error}
+}
+
+// batchEnds reads the answer of a call with several messages. One that is not told of, or is told of in two ways, may have run.
 func batchEnds(body []byte, ids []string) []end {
 	told := map[string]end{}
 	for line := range strings.Lines(string(body)) {
 		id, what, _ := strings.Cut(strings.TrimSpace(line), " ")
-		switch strings.TrimSpace(what) {
-		case "ok":
-			told[id] = end{outcome: choice.Served}
-		case "later":
-			told[id] = end{outcome: choice.Refused}
-		case "gone":
-			told[id] = end{outcome: choice.NotSent, done: true}
-		case "exhausted":
-			told[id] = end{outcome: choice.NotSent}
-		default:
-			told[id] = end{outcome: choice.Error}
+		e := toldOf(strings.TrimSpace(what))
+		if before, twice := told[id]; twice && before != e {
+			e = end{outcome: choice.Error}
 		}
+		told[id] = e
 	}
 	ends := make([]end, len(ids))
 	for i, id := range ids {
--- a/internal/relay/call_test.go
+++ b/internal/relay/call_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -44,3 +45,57 @@
 	want(t, "end of b", got["b"], choice.Served)
 	want(t, "end of c", got["c"], choice.Refused)
 }
+
+// Guards against two ends, or none, of a member of a shared call whose time is up in the instant of the answer: either may
+// come to the loop first.
+func TestAnAnswerInTheInstantOfAMembersEnd(t *testing.T) {
+	for name, endFirst := range map[string]bool{"its end first": true, "the answer first": false} {
+		ended := make(chan struct{})
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+			io.Copy(io.Discard, req.Body)
+			<-ended
+			io.WriteString(w, "short ok\r\nlong ok\r\n")
+		}))
+		r := caller()
+		r.inbox, r.calls, r.held = make(chan func(), 2), context.Background(), map[string]*message{}
+		c := &call{host: &host{addr: s.Listener.Addr().String(), waiting: &waiting{}}}
+		for id, due := range map[string]time.Duration{"short": 500 * time.Millisecond, "long": time.Hour} {
+			m := &message{Entry: &journal.Entry{ID: id}, due: due}
+			r.held[id] = m
+			c.members, c.sends = append(c.members, m), append(c.sends, choice.Send{ID: id, Timeout: 20 * time.Second})
+		}
+		r.start(c)
+		end := wait(t, r.inbox, "end of the short one")
+		close(ended)
+		answered := wait(t, r.inbox, "answer")
+		s.Close()
+		order := []func(){answered, end}
+		if endFirst {
+			order = []func(){end, answered}
+		}
+		for _, f := range order {
+			f()
+		}
+		want(t, name+": ends", len(r.events), 2)
+		outcomes := map[string]choice.Outcome{}
+		for _, e := range r.events {
+			outcomes[e.(choice.Result).ID] = e.(choice.Result).Outcome
+		}
+		want(t, name+": the long one", outcomes["long"], choice.Served)
+		want(t, name+": records", len(r.records), 2)
+		short := map[bool]choice.Outcome{true: choice.Timeout, false: choice.Served}[endFirst]
+		want(t, name+": the short one", outcomes["short"], short)
+		want(t, name+": it is held, for the decisions to end it", r.held["short"] != nil, endFirst)
+	}
+}
+
+// Guards against a second effect where an answer tells of a message twice, and not the same: it may have run.
+func TestAnAnswerThatContradictsItself(t *testing.T) {
+	for body, outcome := range map[string]choice.Outcome{
+		"a ok\r\na later\r\n": choice.Error, "a later\r\na ok\r\n": choice.Error, "a gone\r\na ok\r\n": choice.Error,
+		"a ok\r\na later\r\na later\r\n": choice.Error, "a exhausted\r\na later\r\n": choice.Error,
+		"a ok\r\na ok\r\n": choice.Served, "a later\r\na later\r\n": choice.Refused,
+	} {
+		want(t, fmt.Sprintf("end after %q", body), batchEnds([]byte(body), []string{"a"})[0], end{outcome: outcome})
+	}
+}
