relay: the next process's word that comes as waiting for it ends holds

Waiting now ends by shutting the connection for reading: what came before that holds, and what comes later fails on the other side, which then does not start.

TestTheWordThatComesAsWaitingEnds: both processes go on without the change.

--- a/internal/relay/bequeath.go
+++ b/internal/relay/bequeath.go
@@ -107,13 +107,9 @@
 	if err := json.NewEncoder(conn).Encode(r.bequest()); err != nil {
 		return nil, err
 	}
-	word := make([]byte, len(handoverTaken))
-	if _, err := io.ReadFull(conn, word); err != nil {
+	if err := awaitTaken(conn); err != nil {
 		return nil, err
 	}
-	if string(word) != handoverTaken {
-		return nil, fmt.Errorf("next process says %q", word)
-	}
 	if err := conn.SetDeadline(time.Time{}); err != nil {
 		return nil, err
 	}
--- a/internal/relay/handover.go
+++ b/internal/relay/handover.go
@@ -2,8 +2,12 @@
 
 import (
 	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
 	"log/slog"
 	"net"
+	"os"
 	"sync/atomic"
 	"time"
 
@@ -89,6 +93,26 @@
 	passedAt atomic.Int64 // when it took over, Unix nanoseconds; 0 if it has not
 }
 
+// awaitTaken waits for the next process's word. If that comes just as this process stops waiting it holds all the same, or both
+// would go on as this relay: one that comes later fails on the other side.
+func awaitTaken(conn *net.UnixConn) error {
+	word := make([]byte, len(handoverTaken))
+	n, err := io.ReadFull(conn, word)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		if err := errors.Join(conn.CloseRead(), conn.SetReadDeadline(time.Now().Add(handoverIn))); err != nil {
+			return err
+		}
+		_, err = io.ReadFull(conn, word[n:]) // what has come by now
+	}
+	if err != nil {
+		return err
+	}
+	if string(word) != handoverTaken {
+		return fmt.Errorf("next process says %q", word)
+	}
+	return nil
+}
+
 // link carries lines of JSON between the two processes. It never blocks who sends.
 type link struct {
 	conn *net.UnixConn
--- a/internal/relay/handover_test.go
+++ b/internal/relay/handover_test.go
@@ -203,3 +203,41 @@
 	want(t, "it may have run", r.records[0], journal.Record{Op: journal.OpOutcome, ID: "m1", Ran: true})
 	want(t, "calls left", len(h.calls), 0)
 }
+
+// unixPair are the two ends of a connection between two processes.
+func unixPair(t *testing.T) (here, there *net.UnixConn) {
+	t.Helper()
+	l, err := net.ListenUnix("unix", &net.UnixAddr{Name: filepath.Join(t.TempDir(), "s"), Net: "unix"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	if there, err = net.DialUnix("unix", nil, l.Addr().(*net.UnixAddr)); err != nil {
+		t.Fatal(err)
+	}
+	if here, err = l.AcceptUnix(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { here.Close(); there.Close() })
+	return here, there
+}
+
+// Guards against two processes that both go on as one relay: the word of the next one comes as this one stops waiting.
+func TestTheWordThatComesAsWaitingEnds(t *testing.T) {
+	here, there := unixPair(t)
+	if err := (&heritage{conn: there}).accept(); err != nil {
+		t.Fatal(err)
+	}
+	here.SetDeadline(time.Now().Add(-time.Second))
+	if err := awaitTaken(here); err != nil {
+		t.Errorf("the next process has taken over, and this one finds %v", err)
+	}
+	here, there = unixPair(t)
+	here.SetDeadline(time.Now().Add(-time.Second))
+	if err := awaitTaken(here); err == nil {
+		t.Error("no word came, and this process finds that it has handed over")
+	}
+	if err := (&heritage{conn: there}).accept(); err == nil {
+		t.Error("this process goes on, and the next one finds that it has taken over")
+	}
+}
