relay: an upgrade leaves alone what another relay still has out

A relay that takes up another's messages waits until a call which that one may have out has ended for certain. If the next process of this relay took over meanwhile it took the call for its own, broken one, and sent the message again at once: two attempts at a time. In an upgrade all calls of the process before are known, so what else is out is now waited for again.

TestAnUpgradeLeavesAloneWhatAnotherHasOut: one call out in place of none without the change. A restart, which finds the same record, still sends at once: it cannot tell whose call it was.

--- a/internal/relay/books.go
+++ b/internal/relay/books.go
@@ -58,7 +58,8 @@
 	wall := time.Now().UnixMilli()
 	for e := range r.journal.All() {
 		if r.copies == nil || e.Estate == 0 || r.copies.streams[e.Estate] != nil {
-			r.takeUpNow(e, false)
+			// In an upgrade all calls of the process before are known: any other that is out is another relay's.
+			r.takeUp(e, r.heritage != nil && r.heritage.callOf(e.ID) == nil)
 		}
 	}
 	for id, s := range r.journal.Unwell() {
--- a/internal/relay/restart_test.go
+++ b/internal/relay/restart_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -108,3 +109,22 @@
 		t.Errorf("%v are left, want a minute at most", left)
 	}
 }
+
+// Guards against a second copy of what another relay still has out: this one had taken its message up, and waited for that
+// call to end, as the next process took over.
+func TestAnUpgradeLeavesAloneWhatAnotherHasOut(t *testing.T) {
+	for name, upgraded := range map[string]bool{"restarted": false, "upgraded": true} {
+		r := unserved(t, newPlatform(t, at("s-1", "127.0.0.1:1", "taller")), folderWith(t,
+			journal.Record{Op: journal.OpTaken, Entry: &journal.Entry{ID: "m1", Class: "status-update", Dest: 7, Due: time.Now().Add(time.Minute).UnixMilli()}},
+			journal.Record{Op: journal.OpTry, ID: "m1", At: time.Now().UnixMilli(), Wait: 30_000}))
+		if upgraded {
+			r.heritage = &heritage{calls: map[string]*call{}}
+		}
+		r.events = slices.DeleteFunc(r.events, func(e choice.Event) bool { _, is := e.(choice.Restored); return is })
+		r.held, r.records = map[string]*message{}, nil
+		r.restore()
+		r.step()
+		want(t, "messages held", len(r.held), 1)
+		want(t, "calls out, "+name, r.out, map[bool]int{false: 1, true: 0}[upgraded])
+	}
+}
