--- a/internal/relay/books.go
+++ b/internal/relay/books.go
@@ -9,7 +9,6 @@
 
 	"larchrouter/choice"
 	"larchrouter/internal/journal"
-	"larchrouter/internal/remedy"
 )
 
 // What the relay holds for others, and its record of that.
@@ -58,7 +57,8 @@
 	wall := time.Now().UnixMilli()
 	for e := range r.journal.All() {
 		if r.copies == nil || e.Estate == 0 || r.copies.streams[e.Estate] != nil {
-			r.takeUpNow(e, false)
+			// In an upgrade all calls of the process before are known: any other that is out is another relay's.
+			r.takeUp(e, r.heritage != nil && r.heritage.callOf(e.ID) == nil)
 		}
 	}
 	for id, s := range r.journal.Unwell() {
@@ -80,6 +80,7 @@
 	id := e.ID
 	if e.Status != "" {
 		r.owe(notice{ID: e.ID, Status: e.Status, Again: e.Again})
+		r.past.add(e.ID)
 		return
 	}
 	if e.Out && r.heritage.callOf(id) == nil {
@@ -140,82 +141,6 @@
 	r.past.add(m.ID)
 }
 
-// recordsAtOnce bounds the records of one write: the journal keeps room for about so many beyond what it holds, and makes
-// room by what they end.
-const recordsAtOnce = 64
-
-// flush records what has ended. What cannot be written now is kept, and no notice
-// goes out before it is: a client told to come again, and a restart that takes the
-// message up again, would deliver it twice.
-func (r *Relay) flush() {
-	if r.heir != nil {
-		return // the journal is the next process's
-	}
-	all := r.records
-	for len(r.records) > 0 {
-		part := r.records[:min(len(r.records), recordsAtOnce)]
-		notices := r.noticesOf(part)
-		var then func(counts bool)
-		if len(notices) > 0 {
-			then = func(counts bool) { r.sendNotices(notices, counts) }
-		}
-		if err := r.bind(part, 0, then); err != nil {
-			slog.Error("not recorded", "records", len(r.records), "err", err, "remedy", remedy.Of(err))
-			r.flushAgain()
-			return
-		}
-		r.records = r.records[len(part):]
-		r.untold = r.untold[len(notices):]
-	}
-	r.records = all[:0]
-	if len(r.untold) > 0 { // an earlier process recorded them
-		r.sendNotices(r.untold, true)
-	}
-	r.untold = nil
-}
-
-// noticesOf are the first of the notices that wait, up to the last one that some records are of. Notices wait in the order
-// of their records.
-func (r *Relay) noticesOf(records []journal.Record) []notice {
-	count := 0
-	for _, record := range records {
-		if record.Op != journal.OpNotice {
-			continue
-		}
-		for count < len(r.untold) && r.untold[count].ID != record.ID {
-			count++ // an earlier process recorded it
-		}
-		count++
-	}
-	return r.untold[:min(count, len(r.untold))]
-}
-
-// sendNotices has notices go out once their records count.
-func (r *Relay) sendNotices(notices []notice, counts bool) {
-	if !counts { // another relay ends them
-		r.owed -= len(notices)
-		return
-	}
-	for _, n := range notices {
-		if n.class != "" {
-			r.figures.ended(n.class, n.how())
-		}
-	}
-	r.notices.add(notices)
-}
-
-// rewriteIn is the time from a record that could not be written to the next attempt. What it ends waits for it.
-const rewriteIn = 50 * time.Millisecond
-
-// flushAgain has the loop take a turn, and so flush, in a while; one such turn at a time, however many attempts have failed.
-func (r *Relay) flushAgain() {
-	if r.flushes {
-		return
-	}
-	r.flushes = true
-	time.AfterFunc(rewriteIn, func() { r.post(func() { r.flushes = false }) })
-}
-
 // all has the ids, the oldest first.
 func (s *recent) all() []string {
 	return slices.DeleteFunc(slices.Concat(s.ring[min(s.next, len(s.ring)):], s.ring[:s.next]),
--- a/internal/relay/intake.go
+++ b/internal/relay/intake.go
@@ -59,17 +59,7 @@
 		}
 	}
 	if a.status == http.StatusAccepted && req.Context().Err() != nil {
-		// The client left without an answer and may hand the message in again under another id.
-		// One that only ended its sending still reads: it is not told 202 of what is given up here.
-		gone := make(chan bool, 1)
-		r.post(func() { gone <- r.withdraw(in.entry.ID) || r.withdrawStored(in.entry) })
-		select {
-		case withdrawn := <-gone:
-			if withdrawn {
-				a = answer{status: http.StatusServiceUnavailable, after: comeBack, text: "withdrawn"}
-			}
-		case <-r.halted: // the journal has it
-		}
+		a = r.afterLeaving(in)
 	}
 	r.leave(w)
 	if a.after > 0 {
@@ -184,8 +174,6 @@
 		r.pass(in)
 	case r.heirConn != nil && r.copies != nil: // the next process is to have all that counts first
 		r.deferred = append(r.deferred, in)
-	case in.ctx.Err() != nil: // the client has gone; its handler still waits, and holds the connection
-		in.reply <- refuse
 	case r.held[id] != nil: // the client sent it again after its connection broke
 		m := r.held[id]
 		m.twice = true
@@ -197,6 +185,10 @@
 	case r.liesOnDisk(in):
 	case r.past.has(id):
 		in.reply <- answer{status: http.StatusAccepted}
+	case r.journal.Entry(id) != nil:
+		r.answerRecorded(in, r.journal.Entry(id))
+	case in.ctx.Err() != nil: // the client has gone; its handler still waits, and holds the connection
+		in.reply <- refuse
 	case err != nil:
 		in.reply <- answer{status: http.StatusBadRequest, text: err.Error()}
 	case r.dests[in.entry.Dest] == nil:
@@ -220,19 +212,3 @@
 			Left: due - r.now(), Key: in.entry.Order, Tenant: slices.Index(set.TenantNames, in.entry.Tenant)})
 	}
 }
-
-// withdraw ends a message whose client left unanswered: it may hand it in again under
-// another id, and tells whether it did. One that was sent, or came twice, goes on; its id
-// may still be in use.
-func (r *Relay) withdraw(id string) bool {
-	m := r.held[id]
-	if r.heir != nil || m == nil || m.Tries > 0 || m.twice {
-		return false
-	}
-	r.events = append(r.events, choice.Withdrawn{ID: id})
-	r.record(journal.Record{Op: journal.OpEnd, ID: id})
-	m.over = true
-	delete(r.held, id)
-	r.overflow.leave(m, r.now())
-	return true
-}
