relay: a request that was read is refused with 503, not dropped with its connection

Cause: net/http tells of a request only after its whole head was read; until the handler runs, the stop (retire) and the making of room (oldest) saw a connection without a request and ended it. The request was dropped with no answer, as was one read in part. One whose time to come in ran out was failed with 400 or ended in silence.

Change: a connection that ends under a request that nobody else answers gets a 503 with Retry-After first; afterwards nothing is written to it. Its linger runs whoever closes it. The ends of connections moved to ending.go.

--- /dev/null
+++ b/internal/relay/ending.go
@@ -0,0 +1,127 @@
+package relay
+
+import (
+	"io"
+	"net/http"
+	"time"
+)
+
+// How connections of clients end. A connection ends in order: this side ends its sending, and then reads to the other
+// side's end, within bounds. What comes meanwhile is read as nobody's request: the client sees an end that crossed it,
+// and sends it anew. To close at once would reset the connection over bytes that were not read, and with it an answer that
+// is still on its way; and to serve what was read after the end would deliver what its client hands in once more.
+//
+// A request that has begun to be read is never dropped in silence: it is refused before the connection ends.
+
+const (
+	// lingerIn bounds how long the other side may take to end, once this side has: a round trip and what a busy
+	// machine adds to that.
+	lingerIn = 500 * time.Millisecond
+	// lingerMost bounds what is read of it meanwhile, in bytes: a request of the longest body, and some more.
+	lingerMost = 4 * maxBody
+	// refuseIn bounds the writing of a refusal. It blocks only for a client that does not read its answers.
+	refuseIn = 100 * time.Millisecond
+)
+
+// refusal answers a request that was read, in part or whole, and is not served.
+const refusal = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+
+// end ends this side; whoever reads the connection reads on to its end. A request that has begun, and that no handler
+// answers, is refused first. The mutex is held.
+func (c *peer) end() {
+	refuse := c.unanswered() && !c.over
+	c.left, c.since = true, time.Now()
+	c.all.left++
+	c.Conn.SetReadDeadline(c.since.Add(lingerIn))
+	if !refuse {
+		c.shut()
+		return
+	}
+	c.refused = make(chan struct{})
+	go c.refuse()
+}
+
+// refuse writes the refusal, and then ends this side's sending.
+func (c *peer) refuse() {
+	defer close(c.refused)
+	c.Conn.SetWriteDeadline(time.Now().Add(refuseIn))
+	io.WriteString(c.Conn, refusal)
+	c.shut()
+}
+
+// shut ends this side's sending.
+func (c *peer) shut() {
+	if s, ok := c.Conn.(interface{ CloseWrite() error }); !ok || s.CloseWrite() != nil {
+		c.Conn.Close() // broken, or in memory
+	}
+}
+
+// Close ends the connection in order, without holding its caller up.
+func (c *peer) Close() error {
+	c.all.mu.Lock()
+	defer c.all.mu.Unlock()
+	if c.closed {
+		return nil
+	}
+	c.closed, c.active = true, false
+	if !c.left && (c.over || c.all.left >= c.all.leftMost()) {
+		c.forget()
+		return c.Conn.Close()
+	}
+	if !c.left {
+		c.end()
+	}
+	go c.linger()
+	return nil
+}
+
+// linger reads to the other side's end, and closes the connection.
+func (c *peer) linger() {
+	for buf := make([]byte, 4<<10); ; {
+		if _, err := c.Read(buf); err != nil {
+			break
+		}
+	}
+	if c.refused != nil {
+		<-c.refused
+	}
+	c.all.mu.Lock()
+	defer c.all.mu.Unlock()
+	c.forget()
+	c.Conn.Close()
+}
+
+// forget frees the connection's place. The mutex is held.
+func (c *peer) forget() {
+	if _, ok := c.all.open[c]; !ok {
+		return
+	}
+	delete(c.all.open, c)
+	if c.left {
+		c.all.left--
+	}
+}
+
+// enter has a request be served, unless its connection was ended before that: then it has been refused.
+func (c *peer) enter() bool {
+	if c == nil {
+		return true
+	}
+	c.all.mu.Lock()
+	defer c.all.mu.Unlock()
+	if c.left {
+		return false
+	}
+	c.active, c.entered = true, true
+	return true
+}
+
+// served lets through only what came before its connection was ended.
+func served(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		if !peerOf(req).enter() {
+			panic(http.ErrAbortHandler)
+		}
+		next.ServeHTTP(w, req)
+	})
+}
--- a/internal/relay/peer.go
+++ b/internal/relay/peer.go
@@ -9,11 +9,6 @@
 )
 
 // peer is one connection that came in. Its fields belong to the mutex of peers.
-//
-// A connection ends in order: this side ends its sending, and then reads to the other side's end, within bounds. What
-// comes meanwhile is read as nobody's request: the client sees an end that crossed it, and sends it anew. To close at once
-// would reset the connection over bytes that were not read, and with it an answer that is still on its way; and to serve
-// what was read after the end would deliver what its client hands in once more.
 type peer struct {
 	net.Conn
 	all      *peers
@@ -22,125 +17,111 @@
 	terms    any       // what held then
 	answered bool      // written to since the last byte came
 	active   bool      // the head of a request has been read
+	entered  bool      // a handler has the request under way, and answers it
 	served   bool      // a request before
 	client   bool      // has handed in a message
 	left     bool      // this side has ended: nothing is served any more
 	over     bool      // the other side has ended, or the connection is broken
 	closed   bool      // by whoever serves it
 	spilt    int       // bytes read since this side ended
-}
-
-const (
-	// lingerIn bounds how long the other side may take to end, once this side has: a round trip and what a busy
-	// machine adds to that.
-	lingerIn = 500 * time.Millisecond
-	// lingerMost bounds what is read of it meanwhile, in bytes: a request of the longest body, and some more.
-	lingerMost = 4 * maxBody
-)
 
-// end ends this side; whoever reads the connection reads on to its end. The mutex is held.
-func (c *peer) end() {
-	c.left, c.since = true, time.Now()
-	c.all.left++
-	if s, ok := c.Conn.(interface{ CloseWrite() error }); !ok || s.CloseWrite() != nil {
-		c.Conn.Close() // broken, or in memory
-		return
-	}
-	c.Conn.SetReadDeadline(c.since.Add(lingerIn))
+	refused chan struct{} // closed once the refusal has been written; nil for none
 }
 
 // Read marks where a request begins. After this side has ended, nothing that comes is passed on.
 func (c *peer) Read(p []byte) (int, error) {
 	for {
 		n, err := c.Conn.Read(p)
-		if !c.came(n, err) {
+		switch c.came(n, err) {
+		case passOn:
 			return n, err
-		}
-		if err != nil {
+		case endOfInput:
 			return 0, io.EOF
 		}
 	}
 }
 
-// came notes what was read, and tells whether it is for nobody.
-func (c *peer) came(n int, err error) bool {
+// reading is what becomes of what was read.
+type reading int
+
+const (
+	passOn     reading = iota // to the server
+	readOn                    // drop it, and read more
+	endOfInput                // nothing more comes for the server
+)
+
+// came notes what was read, and tells what becomes of it.
+func (c *peer) came(n int, err error) reading {
 	c.all.mu.Lock()
 	defer c.all.mu.Unlock()
-	if timeout, ok := err.(net.Error); err != nil && !(ok && timeout.Timeout()) {
-		c.over = true
-	}
+	timeout, _ := err.(net.Error)
+	late := timeout != nil && timeout.Timeout()
+	c.over = c.over || err != nil && !late
 	if c.left {
 		if c.spilt += n; c.spilt > lingerMost {
 			c.Conn.SetReadDeadline(time.Unix(1, 0))
 		}
-		return true
+		if err != nil {
+			return endOfInput
+		}
+		return readOn
 	}
 	if n > 0 {
-		if c.begun.IsZero() || c.answered {
-			c.begun = time.Now()
-			if c.all.snapshot != nil {
-				c.terms = c.all.snapshot()
-			}
+		c.begin()
+	}
+	if late && c.unanswered() { // its client may have sent all of it by now
+		c.end()
+		return readOn
+	}
+	return passOn
+}
+
+// begin notes that bytes of a request have come. The mutex is held.
+func (c *peer) begin() {
+	if c.begun.IsZero() || c.answered {
+		c.begun = time.Now()
+		if c.all.snapshot != nil {
+			c.terms = c.all.snapshot()
 		}
-		c.answered = false
 	}
-	return false
+	c.answered = false
 }
 
-// Write marks what comes next as another request's.
+// unanswered tells whether a request has begun that nobody but this connection can answer: neither a handler nor the
+// server has begun to. The mutex is held.
+func (c *peer) unanswered() bool { return !c.begun.IsZero() && !c.answered && !c.entered }
+
+// Write marks what comes next as another request's. After this side has ended, nothing is written any more.
 func (c *peer) Write(p []byte) (int, error) {
 	c.all.mu.Lock()
-	c.answered = true
+	left := c.left
+	c.answered = c.answered || !left
 	c.all.mu.Unlock()
+	if left {
+		return 0, net.ErrClosed
+	}
 	return c.Conn.Write(p)
 }
 
-// SetReadDeadline leaves that of a connection that this side has ended alone.
-func (c *peer) SetReadDeadline(t time.Time) error {
+// SetWriteDeadline leaves that of a connection that this side has ended alone.
+func (c *peer) SetWriteDeadline(t time.Time) error {
 	c.all.mu.Lock()
-	defer c.all.mu.Unlock()
-	if c.left {
+	left := c.left
+	c.all.mu.Unlock()
+	if left {
 		return nil
 	}
-	return c.Conn.SetReadDeadline(t)
+	return c.Conn.SetWriteDeadline(t)
 }
 
-// Close ends the connection in order, without holding its caller up.
-func (c *peer) Close() error {
+// SetReadDeadline leaves that of a connection that this side has ended alone.
+func (c *peer) SetReadDeadline(t time.Time) error {
 	c.all.mu.Lock()
 	defer c.all.mu.Unlock()
-	if c.closed {
-		return nil
-	}
-	c.closed, c.active = true, false
-	if c.left || c.over || c.all.left >= c.all.leftMost() {
-		c.forget()
-		return c.Conn.Close()
-	}
-	c.end()
-	go func() {
-		for buf := make([]byte, 4<<10); ; {
-			if _, err := c.Read(buf); err != nil {
-				break
-			}
-		}
-		c.all.mu.Lock()
-		defer c.all.mu.Unlock()
-		c.forget()
-		c.Conn.Close()
-	}()
-	return nil
-}
-
-// forget frees the connection's place. The mutex is held.
-func (c *peer) forget() {
-	if _, ok := c.all.open[c]; !ok {
-		return
-	}
-	delete(c.all.open, c)
 	if c.left {
-		c.all.left--
+		return nil
 	}
+	return c.Conn.SetReadDeadline(t)
 }
 
 type peerKey struct{}
@@ -156,20 +137,6 @@
 	return c
 }
 
-// enter has a request be served, unless its connection was ended before that: then nobody could be answered.
-func (c *peer) enter() bool {
-	if c == nil {
-		return true
-	}
-	c.all.mu.Lock()
-	defer c.all.mu.Unlock()
-	if c.left {
-		return false
-	}
-	c.active = true
-	return true
-}
-
 // termsOf is what held as the request under way began; nil if that is not known.
 func (c *peer) termsOf() any {
 	if c == nil {
--- a/internal/relay/peers.go
+++ b/internal/relay/peers.go
@@ -172,7 +172,7 @@
 		p.mu.Lock()
 		c.active, c.since = state == http.StateActive, time.Now()
 		if state == http.StateIdle {
-			c.served = true
+			c.served, c.entered = true, false
 			if c.answered { // nothing has come since: else it is of the next request
 				c.begun, c.terms = time.Time{}, nil
 			}
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -15,16 +15,6 @@
 	return r.leaving(framed(mux))
 }
 
-// served lets through only what came before its connection was ended.
-func served(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
-		if !peerOf(req).enter() {
-			panic(http.ErrAbortHandler)
-		}
-		next.ServeHTTP(w, req)
-	})
-}
-
 // leaving ends connections with their answers while the relay stops.
 func (r *Relay) leaving(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
