relay: connections end by their reader, so that no request read ahead is lost

Cause: between two requests the stop and the making of room ended a connection from outside. Bytes that a Read had from the system but had not returned, the byte that net/http reads while it watches for the client's leaving, and what its buffer held behind the request before were of a request that had been read, and got no answer.

Change: whoever wants a resting connection to end marks it (part) and wakes its Read; the reader ends it once it waits for a first byte with nothing in the server's buffer, which the room left in that buffer shows. The first Read of a new connection still looks at what lies there.

Tests: TestARequestOnItsWayFromTheSystemIsAnswered, TestARequestReadAheadInPartIsAnswered, TestARequestReadAheadWholeIsAnswered, TestAByteReadDuringARequestIsOfTheNext: without the change all four read an EOF in place of the answer (the second only for bytes in one read with the first request). TestAConnectionThatStayedEndsAsItRests guards the new marks.

--- /dev/null
+++ b/internal/relay/ahead_test.go
@@ -0,0 +1,156 @@
+package relay
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+)
+
+// betweenRequests are the ways in which a server ends connections between requests.
+var betweenRequests = map[string]func(*intakes){
+	"stop": func(in *intakes) { in.retire(false) },
+	"room": func(in *intakes) { in.room() },
+}
+
+// Guards against ending a connection whose next request's bytes have left the system, but were not seen yet.
+func TestARequestOnItsWayFromTheSystemIsAnswered(t *testing.T) {
+	for name, end := range betweenRequests {
+		for _, served := range []bool{false, true} {
+			t.Run(name, func(t *testing.T) {
+				at := newInstants()
+				in := newIntakes(t, 1, at.wrap)
+				conn := in.dial(t)
+				r := bufio.NewReader(conn)
+				if served {
+					ask(t, conn, r, "first")
+					in.idles(t, 1)
+				}
+				at.read.arm()
+				io.WriteString(conn, message7("second"))
+				<-at.read.reached
+				end(in)
+				close(at.read.release)
+				wantStatus(t, "answer", r, http.StatusAccepted)
+				want(t, "taken on", in.took("second"), 1)
+			})
+		}
+	}
+}
+
+// Guards against ending a connection whose next request was read in part behind the one before: by the server's watch for
+// the client's leaving, which reads one byte, or with the same read.
+func TestARequestReadAheadInPartIsAnswered(t *testing.T) {
+	for _, n := range []int{1, 2, 3, 4, 40} {
+		for name, withFirst := range map[string]bool{"while the first is served": false, "in one read with the first": true} {
+			t.Run(name, func(t *testing.T) {
+				at := newInstants()
+				in := newIntakes(t, 1, at.wrap)
+				in.hold = make(chan struct{})
+				conn := in.dial(t)
+				text := message7("second")
+				if withFirst {
+					io.WriteString(conn, message7("first")+text[:n])
+					<-in.came
+				} else {
+					io.WriteString(conn, message7("first"))
+					<-in.came
+					at.read.arm()
+					io.WriteString(conn, text[:n])
+					<-at.read.reached
+					close(at.read.release)
+				}
+				close(in.hold)
+				r := bufio.NewReader(conn)
+				wantStatus(t, "answer to the first", r, http.StatusAccepted)
+				in.idles(t, 1)
+				in.retire(false)
+				io.WriteString(conn, text[n:])
+				wantStatus(t, "answer to the second", r, http.StatusAccepted)
+				want(t, "taken on", in.took("second"), 1)
+			})
+		}
+	}
+}
+
+// Guards against taking the byte that the server reads while it watches for the client's leaving for one of the request
+// under way: the answer goes out behind it.
+func TestAByteReadDuringARequestIsOfTheNext(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	p := newPeers(l, 8)
+	client, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	conn, err := p.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	read := func(size, n int) { // as net/http does
+		t.Helper()
+		io.WriteString(client, strings.Repeat("x", n))
+		got, err := io.ReadAtLeast(conn, make([]byte, size), n)
+		if got != n || err != nil {
+			t.Fatalf("read %d bytes, %v, want %d", got, err, n)
+		}
+	}
+	read(4096, 10)
+	p.note(conn, http.StateActive)
+	conn.(*peer).enter()
+	read(1, 1)
+	io.WriteString(conn, "answer")
+	p.note(conn, http.StateIdle)
+	p.retire(false)
+	read(4095, 9)
+	want(t, "connections left", p.retire(false), 1)
+	want(t, "ended", conn.(*peer).left, false)
+}
+
+// Guards against ending a connection whose next request was read whole behind the one before, at the instant at which no
+// handler has it yet.
+func TestARequestReadAheadWholeIsAnswered(t *testing.T) {
+	for name, end := range betweenRequests {
+		t.Run(name, func(t *testing.T) {
+			at := newInstants()
+			in := newIntakes(t, 1, at.wrap)
+			in.hold = make(chan struct{})
+			conn := in.dial(t)
+			io.WriteString(conn, message7("first")+message7("second"))
+			<-in.came
+			at.dispatched.arm() // for the second
+			close(in.hold)
+			<-at.dispatched.reached
+			end(in)
+			close(at.dispatched.release)
+			r := bufio.NewReader(conn)
+			wantStatus(t, "answer to the first", r, http.StatusAccepted)
+			wantStatus(t, "answer to the second", r, http.StatusAccepted)
+			want(t, "taken on", in.took("second"), 1)
+		})
+	}
+}
+
+// Guards against connections that stay because they were once held to have begun a request: each ends as it rests again.
+func TestAConnectionThatStayedEndsAsItRests(t *testing.T) {
+	in := newIntakes(t, 1)
+	conn := in.dial(t)
+	r := bufio.NewReader(conn)
+	for _, id := range []string{"first", "second"} {
+		io.WriteString(conn, message7(id)[:20])
+		in.begins(t)
+		in.retire(false)
+		io.WriteString(conn, message7(id)[20:])
+		wantStatus(t, "answer", r, http.StatusAccepted)
+		in.idles(t, 1)
+	}
+	in.retire(false)
+	wantEnd(t, "connection", r)
+}
--- a/internal/relay/ending.go
+++ b/internal/relay/ending.go
@@ -30,8 +30,9 @@
 // answers, is refused first. The mutex is held.
 func (c *peer) end() {
 	refuse := c.unanswered() && !c.over
-	c.left, c.since = true, time.Now()
+	c.left, c.parting, c.since = true, false, time.Now()
 	c.all.left++
+	c.all.changed.Broadcast()
 	c.Conn.SetReadDeadline(c.since.Add(lingerIn))
 	if !refuse {
 		c.shut()
@@ -63,7 +64,8 @@
 	if c.closed {
 		return nil
 	}
-	c.closed, c.active = true, false
+	c.closed, c.active, c.parting = true, false, false
+	c.all.changed.Broadcast()
 	if !c.left && (c.over || c.all.left >= c.all.leftMost()) {
 		c.forget()
 		return c.Conn.Close()
@@ -113,6 +115,7 @@
 		return false
 	}
 	c.active, c.entered = true, true
+	c.beginBuffered()
 	return true
 }
 
--- a/internal/relay/peer.go
+++ b/internal/relay/peer.go
@@ -15,6 +15,7 @@
 	since    time.Time // the last change of state
 	begun    time.Time // the first byte of the request under way came; zero between requests
 	terms    any       // what held then
+	latest   any       // what held as the last bytes came
 	answered bool      // written to since the last byte came
 	active   bool      // the head of a request has been read
 	entered  bool      // a handler has the request under way, and answers it
@@ -24,6 +25,11 @@
 	over     bool      // the other side has ended, or the connection is broken
 	closed   bool      // by whoever serves it
 	spilt    int       // bytes read since this side ended
+	buffer   int       // the size of the server's read buffer, as its first Read shows it
+	rests    bool      // a Read waits for the first byte of a request
+	parting  bool      // ends as soon as it rests
+	woken    bool      // for that: its Read does not wait any longer
+	deadline time.Time // for reading, as the server set it
 
 	refused chan struct{} // closed once the refusal has been written; nil for none
 }
@@ -31,6 +37,7 @@
 // Read marks where a request begins. After this side has ended, nothing that comes is passed on.
 func (c *peer) Read(p []byte) (int, error) {
 	for {
+		c.reads(len(p))
 		n, err := c.Conn.Read(p)
 		switch c.came(n, err) {
 		case passOn:
@@ -54,6 +61,7 @@
 func (c *peer) came(n int, err error) reading {
 	c.all.mu.Lock()
 	defer c.all.mu.Unlock()
+	c.rests = false
 	timeout, _ := err.(net.Error)
 	late := timeout != nil && timeout.Timeout()
 	c.over = c.over || err != nil && !late
@@ -69,7 +77,7 @@
 	if n > 0 {
 		c.begin()
 	}
-	if late && c.unanswered() { // its client may have sent all of it by now
+	if late && (c.parting || c.unanswered()) { // of what has begun, its client may have sent all by now
 		c.end()
 		return readOn
 	}
@@ -78,13 +86,14 @@
 
 // begin notes that bytes of a request have come. The mutex is held.
 func (c *peer) begin() {
+	if c.all.snapshot != nil {
+		c.latest = c.all.snapshot()
+	}
 	if c.begun.IsZero() || c.answered {
-		c.begun = time.Now()
-		if c.all.snapshot != nil {
-			c.terms = c.all.snapshot()
-		}
+		c.begun, c.terms = time.Now(), c.latest
 	}
 	c.answered = false
+	c.stay()
 }
 
 // unanswered tells whether a request has begun that nobody but this connection can answer: neither a handler nor the
@@ -121,6 +130,7 @@
 	if c.left {
 		return nil
 	}
+	c.deadline = t
 	return c.Conn.SetReadDeadline(t)
 }
 
--- a/internal/relay/peers.go
+++ b/internal/relay/peers.go
@@ -13,7 +13,7 @@
 // who hold the places like. This one goes on accepting and ends the connection that has
 // been longest without a request: first those that never handed in a message.
 //
-// It alone ends connections that rest (see retire). net/http would close one whose next request is being read.
+// It alone ends connections that rest (see retire and part). net/http would close one whose next request is being read.
 type peers struct {
 	net.Listener
 	snapshot func() any // of what holds for a request from its first byte on; nil for nothing
@@ -25,13 +25,17 @@
 	last time.Time // that there were not
 	open map[*peer]struct{}
 	left int // of open: ended from this side, and waiting for the other
+
+	changed *sync.Cond // a connection has ended, or is to stay
 }
 
 // partialIn is how long a request that has begun, but whose head is not whole, is left alone while places are short.
 const partialIn = 250 * time.Millisecond
 
 func newPeers(l net.Listener, most int) *peers {
-	return &peers{Listener: l, most: most, full: most, open: map[*peer]struct{}{}}
+	p := &peers{Listener: l, most: most, full: most, open: map[*peer]struct{}{}}
+	p.changed = sync.NewCond(&p.mu)
+	return p
 }
 
 // count tells how many connections there are.
@@ -110,10 +114,14 @@
 	defer p.mu.Unlock()
 	for len(p.open)-p.left >= p.most {
 		out := p.oldest(false)
-		if out == nil {
+		switch {
+		case out == nil:
+			return false
+		case !out.begun.IsZero():
+			out.end()
+		case !p.parted(out):
 			return false
 		}
-		out.end()
 	}
 	for p.left > p.leftMost() {
 		out := p.oldest(true)
@@ -156,10 +164,15 @@
 	defer p.mu.Unlock()
 	for c := range p.open {
 		fresh := !c.served && time.Since(c.since) < freshPeer
-		if !c.left && !c.active && (all || c.begun.IsZero() && !fresh) {
+		switch {
+		case c.left || c.active:
+		case c.begun.IsZero() && (all || !fresh):
+			c.part()
+		case all:
 			c.end()
 		}
 	}
+	p.await(p.noneWoken)
 	return len(p.open)
 }
 
@@ -171,11 +184,14 @@
 	if c, ok := conn.(*peer); ok && (state == http.StateActive || state == http.StateIdle) {
 		p.mu.Lock()
 		c.active, c.since = state == http.StateActive, time.Now()
+		switch {
+		case c.active:
+			c.stay()
+		case c.answered: // what was read ahead shows at the next Read, and came with the last bytes
+			c.begun, c.terms = time.Time{}, c.latest
+		}
 		if state == http.StateIdle {
 			c.served, c.entered = true, false
-			if c.answered { // nothing has come since: else it is of the next request
-				c.begun, c.terms = time.Time{}, nil
-			}
 		}
 		p.mu.Unlock()
 	}
