relay: no room is answered with 503, and a lack of descriptors resets no connection

Cause: with every place under a request, Accept closed a new connection at once, over the request that may lie there. A lack of descriptors closed all connections that waited for their other side, also over bytes not yet read, which resets them with the answer that is on its way.

Change: a connection without a place waits for its request (0.5 s at most, among those few that wait for their other side), refuses it with 503 and Retry-After and ends in order. short gives up eight, those that were ended longest ago; whoever has to make haste reads what lies there before the close.

--- a/internal/relay/ending.go
+++ b/internal/relay/ending.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
 	"time"
 )
@@ -66,12 +67,13 @@
 	}
 	c.closed, c.active, c.parting = true, false, false
 	c.all.changed.Broadcast()
-	if !c.left && (c.over || c.all.left >= c.all.leftMost()) {
+	if !c.left && c.over {
 		c.forget()
 		return c.Conn.Close()
 	}
 	if !c.left {
 		c.end()
+		c.all.trim()
 	}
 	go c.linger()
 	return nil
@@ -87,12 +89,57 @@
 	if c.refused != nil {
 		<-c.refused
 	}
+	c.drain()
 	c.all.mu.Lock()
 	defer c.all.mu.Unlock()
 	c.forget()
 	c.Conn.Close()
 }
 
+// drain reads what lies there, within bounds: to close over it would reset the connection.
+func (c *peer) drain() {
+	buf := make([]byte, 4<<10)
+	for all := 0; all < lingerMost; {
+		c.Conn.SetReadDeadline(time.Now().Add(firstLook))
+		n, err := c.Conn.Read(buf)
+		if all += n; err != nil {
+			return
+		}
+	}
+}
+
+// hurry frees the place of a connection that waits for its other side; its reader waits no longer. The mutex is held.
+func (c *peer) hurry() {
+	c.forget()
+	c.Conn.SetReadDeadline(time.Unix(1, 0))
+}
+
+// trim hurries those that have waited longest for their other side, if they are too many. The mutex is held.
+func (p *peers) trim() {
+	for p.left > p.leftMost() {
+		p.oldest(true).hurry()
+	}
+}
+
+// turnAway ends a connection for which there is no place: its request, if one comes, is refused.
+func (p *peers) turnAway(conn net.Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c := &peer{Conn: conn, all: p, since: time.Now(), left: true, closed: true, refused: make(chan struct{})}
+	c.Conn.SetReadDeadline(c.since.Add(lingerIn))
+	p.open[c] = struct{}{}
+	p.left++
+	p.trim()
+	go func() {
+		if n, _ := c.Conn.Read(make([]byte, 4<<10)); n > 0 {
+			c.refuse()
+		} else {
+			close(c.refused)
+		}
+		c.linger()
+	}()
+}
+
 // forget frees the connection's place. The mutex is held.
 func (c *peer) forget() {
 	if _, ok := c.all.open[c]; !ok {
--- a/internal/relay/peers.go
+++ b/internal/relay/peers.go
@@ -64,7 +64,7 @@
 			return nil, err
 		}
 		if !p.room() { // every place has a request under way
-			conn.Close()
+			p.turnAway(conn)
 			continue
 		}
 		c := &peer{Conn: conn, all: p, since: time.Now()}
@@ -86,11 +86,8 @@
 	}
 	p.mu.Lock()
 	waited := p.left > 0
-	for c := range p.open { // no time for a close in order
-		if c.left {
-			c.forget()
-			c.Conn.Close()
-		}
+	for n := 0; n < descriptorsBack && p.left > 0; n++ {
+		p.oldest(true).hurry()
 	}
 	if p.last = time.Now(); !waited {
 		p.most = max(1, min(p.most, len(p.open)-descriptorsBack))
@@ -123,11 +120,7 @@
 			return false
 		}
 	}
-	for p.left > p.leftMost() {
-		out := p.oldest(true)
-		out.forget()
-		out.Conn.Close()
-	}
+	p.trim()
 	return true
 }
 
