relay: the listener closes once its queue is empty, so that nobody there is reset

Cause: the stop closed the listener at a fixed time. Connections in its queue, with requests in them, were reset: at the stop of a busy machine, or of a process that had got no core for a while, these are all that came meanwhile.

Change: from that time on Accept goes on with short deadlines until three tries in a row found nobody waiting; tries that had to wait for their connection count as well, so that new ones don't hold the stop. A listener that the next process has, or one in memory, is only closed. The stop is over only after that. What concerns the stop moved to draining.go.

--- a/internal/relay/peers.go
+++ b/internal/relay/peers.go
@@ -26,6 +26,11 @@
 	open map[*peer]struct{}
 	left int // of open: ended from this side, and waiting for the other
 
+	stopping bool      // the listener closes once its queue is empty
+	tried    time.Time // the last try to accept began
+	vain     int       // tries in a row that found the queue empty
+	accepted bool      // the listener has been closed
+
 	changed *sync.Cond // a connection has ended, or is to stay
 }
 
@@ -55,7 +60,11 @@
 // Accept makes room for the connection that it returns.
 func (p *peers) Accept() (net.Conn, error) {
 	for {
+		p.willAccept()
 		conn, err := p.Listener.Accept()
+		if p.foundNothing(err) {
+			continue
+		}
 		if outOf(err) {
 			p.short(err)
 			continue
@@ -150,28 +159,6 @@
 	return out
 }
 
-// retire ends connections between requests: those that rest, and with all those that have not sent a whole head yet. It
-// tells how many connections are left, whatever their state.
-func (p *peers) retire(all bool) int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for c := range p.open {
-		fresh := !c.served && time.Since(c.since) < freshPeer
-		switch {
-		case c.left || c.active:
-		case c.begun.IsZero() && (all || !fresh):
-			c.part()
-		case all:
-			c.end()
-		}
-	}
-	p.await(p.noneWoken)
-	return len(p.open)
-}
-
-// freshPeer is how long a connection that has just come may be without a request: clients wait 400 ms for their answer.
-const freshPeer = 400 * time.Millisecond
-
 // note follows the server's view of a connection.
 func (p *peers) note(conn net.Conn, state http.ConnState) {
 	if c, ok := conn.(*peer); ok && (state == http.StateActive || state == http.StateIdle) {
@@ -189,15 +176,3 @@
 		p.mu.Unlock()
 	}
 }
-
-// emptyIn is how long requests under way may take to be answered once nothing more is decided, and connections to end.
-const emptyIn = 250 * time.Millisecond
-
-// empty ends all connections, each after its answer.
-func (p *peers) empty(s *http.Server) {
-	p.Listener.Close()
-	for end := time.Now().Add(emptyIn); p.retire(true) > 0 && time.Now().Before(end); {
-		time.Sleep(2 * time.Millisecond)
-	}
-	s.Close()
-}
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -43,7 +43,7 @@
 // more, SIGKILL after 3.7 s.
 const (
 	stopKeeping = 500 * time.Millisecond  // then connections end between requests
-	stopTaking  = 800 * time.Millisecond  // then none is accepted
+	stopTaking  = 800 * time.Millisecond  // then those that wait are accepted, and no more
 	stopPassing = 2300 * time.Millisecond // after a hand-over: then connections without a request end
 	stopSending = 2600 * time.Millisecond // then no more calls go out
 	stopAll     = 3300 * time.Millisecond // then calls still out are left to the journal
@@ -61,9 +61,7 @@
 	time.Sleep(from - time.Since(begin))
 	r.closing.Store(true)
 	for took := time.Since(begin); took < stopAll; took = time.Since(begin) {
-		if took >= taking {
-			r.listener.Close()
-		}
+		accepted := took >= taking && r.listener.stopAccepting()
 		peers := r.listener.retire(took >= stopSending)
 		idle := make(chan bool, 1)
 		r.post(func() {
@@ -74,7 +72,7 @@
 		case <-r.quit:
 			return
 		case is := <-idle:
-			if is && took >= taking && peers == 0 {
+			if is && accepted && peers == 0 {
 				r.stop()
 				return
 			}
