relay: answers under way go out as long as the stop lasts, not 0.25 s

Cause: once nothing more is decided, all connections had 0.25 s, one address after the other; then Close and the exit cut the answers that were still to be written, though the stop had time left (SIGKILL comes 3.7 s after SIGTERM at the soonest).

Change: requests that a handler has, and refusals being written, have until 3.55 s after SIGTERM; a connection that waits for its other side has 0.25 s from its own end. Both addresses end side by side.

Tests, on the fake clock: TestAnswersUnderWayOutliveTheEnd (without the change the client of a handler that takes 1 s read no answer), TestTheEndIsBounded.

--- a/internal/relay/draining.go
+++ b/internal/relay/draining.go
@@ -96,14 +96,57 @@
 	return len(p.open)
 }
 
+// answerUntil sets until when answers under way may go out as the process ends.
+func (p *peers) answerUntil(t time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.answerBy = t
+}
+
 // empty ends all connections, each after its answer.
 func (p *peers) empty(s *http.Server) {
-	for end := time.Now().Add(emptyIn); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
+	begin := time.Now()
+	for {
 		accepted := p.stopAccepting()
-		if p.retire(true) == 0 && accepted {
+		p.retire(true)
+		if !p.awaited(begin, accepted) {
 			break
 		}
+		time.Sleep(2 * time.Millisecond)
 	}
 	p.Listener.Close()
 	s.Close()
 }
+
+// awaited tells whether the process stays for a connection, or for the listener's queue: answers go out as long as the stop
+// lasts; all else has emptyIn.
+func (p *peers) awaited(begin time.Time, accepted bool) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	early := time.Since(begin) < emptyIn
+	if !early && time.Now().After(p.answerBy) {
+		return false
+	}
+	if early && (!accepted || len(p.open) > p.left) {
+		return true
+	}
+	for c := range p.open {
+		if c.answering() || c.left && time.Since(c.since) < emptyIn {
+			return true
+		}
+	}
+	return false
+}
+
+// answering tells whether an answer is on its way from the server or from this side. The mutex is held.
+func (c *peer) answering() bool {
+	if !c.left {
+		return c.active
+	}
+	select {
+	case <-c.refused:
+		return false
+	default:
+		return c.refused != nil
+	}
+}
--- a/internal/relay/draining_test.go
+++ b/internal/relay/draining_test.go
@@ -3,10 +3,12 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 )
 
@@ -109,3 +111,59 @@
 	close(stop)
 	all.Wait()
 }
+
+// emptied runs a server on the fake clock whose only request is answered after some time, ends its connections, and tells
+// how long that took and what the client read.
+func emptied(t *testing.T, takes, most time.Duration, clientEnds bool) (took time.Duration, status int) {
+	pipe := &pipes{come: make(chan net.Conn), end: make(chan struct{})}
+	l := newPeers(pipe, 8)
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /api", func(http.ResponseWriter, *http.Request) { time.Sleep(takes) })
+	s := newServer(mux, l)
+	s.WriteTimeout = time.Hour
+	go s.Serve(l)
+	conn := pipe.dial()
+	defer conn.Close()
+	go func() {
+		io.WriteString(conn, message7("slow"))
+		status, _, _ = answered(bufio.NewReader(conn))
+		if clientEnds {
+			conn.Close()
+		}
+	}()
+	synctest.Wait()
+	begin := time.Now()
+	l.answerUntil(begin.Add(most))
+	l.empty(s)
+	took = time.Since(begin)
+	synctest.Wait()
+	return took, status
+}
+
+// Guards against cutting an answer that is under way as the process ends, though the stop has time left.
+func TestAnswersUnderWayOutliveTheEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const takes = 4 * emptyIn
+		defer time.Sleep(takes)
+		took, status := emptied(t, takes, 2*takes, true)
+		want(t, "answer", status, http.StatusOK)
+		want(t, "ended by its client, not by the time", took < takes+emptyIn, true)
+	})
+}
+
+// Guards against a stop that an answer under way, or a client that does not end its side, holds beyond its time.
+func TestTheEndIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const most = 4 * emptyIn
+		defer time.Sleep(time.Minute)
+		took, status := emptied(t, time.Minute, most, true)
+		want(t, "answer", status, 0)
+		want(t, "the end took no longer", took <= most+10*time.Millisecond, true)
+	})
+	in := newIntakes(t, 8)
+	conn := in.dial(t)
+	ask(t, conn, bufio.NewReader(conn), "first")
+	in.idles(t, 1)
+	in.answerUntil(time.Now().Add(time.Hour))
+	in.empty(in.s) // the client leaves its side open
+}
--- a/internal/relay/peers.go
+++ b/internal/relay/peers.go
@@ -30,6 +30,7 @@
 	tried    time.Time // the last try to accept began
 	vain     int       // tries in a row that found the queue empty
 	accepted bool      // the listener has been closed
+	answerBy time.Time // until then answers under way may go out as the process ends
 
 	changed *sync.Cond // a connection has ended, or is to stay
 }
--- a/internal/relay/peers_test.go
+++ b/internal/relay/peers_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,6 +16,7 @@
 type pipes struct {
 	come chan net.Conn
 	end  chan struct{}
+	once sync.Once
 }
 
 func (p *pipes) Accept() (net.Conn, error) {
@@ -26,7 +28,7 @@
 	}
 }
 
-func (p *pipes) Close() error   { close(p.end); return nil }
+func (p *pipes) Close() error   { p.once.Do(func() { close(p.end) }); return nil }
 func (p *pipes) Addr() net.Addr { return &net.TCPAddr{} }
 
 func (p *pipes) dial() net.Conn {
@@ -37,7 +39,7 @@
 
 // servePipes runs the intake's server, with room for so many connections, until the test ends.
 func servePipes(most int) (p *pipes, stop func()) {
-	p = &pipes{make(chan net.Conn), make(chan struct{})}
+	p = &pipes{come: make(chan net.Conn), end: make(chan struct{})}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /up", func(w http.ResponseWriter, _ *http.Request) {})
 	mux.HandleFunc("POST /api", func(w http.ResponseWriter, req *http.Request) {
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"larchrouter/internal/discovery"
@@ -33,10 +34,17 @@
 	}
 	r.endCalls(errStopping)
 	r.closing.Store(true)
-	r.listener.empty(r.server)
+	r.endConnections()
+}
+
+// endConnections ends all that came in, on both addresses at once: the time for it is short.
+func (r *Relay) endConnections() {
+	var all sync.WaitGroup
+	all.Go(func() { r.listener.empty(r.server) })
 	if r.admin != nil {
-		r.adminPeers.empty(r.admin)
+		all.Go(func() { r.adminPeers.empty(r.admin) })
 	}
+	all.Wait()
 }
 
 // The times of an orderly stop, from SIGTERM. New connections come for 0.4 s
@@ -58,6 +66,7 @@
 		// The clients' connections end with their next answer, none of them under a request.
 		from, taking = stopPassing, stopPassing
 	}
+	r.listener.answerUntil(begin.Add(stopAll + emptyIn))
 	time.Sleep(from - time.Since(begin))
 	r.closing.Store(true)
 	for took := time.Since(begin); took < stopAll; took = time.Since(begin) {
