relay: the longest ended go first, and what is still to be closed is bounded

Cause: of the connections that wait for their other side those of clients went last, whenever they were ended: a connection just turned away went before one that had waited half a second. What gave up its place read on without a bound in number, and for as long as its client sent.

Change: the time alone decides; eight at most are closed later, the others at once; the last reads take 50 ms at most.

Tests: TestALackOfDescriptorsTakesTheLongestEnded now with clients among them, TestFewConnectionsAreClosedLater, TestTheLastReadsAreBounded.

--- a/internal/relay/ending.go
+++ b/internal/relay/ending.go
@@ -20,6 +20,10 @@
 	lingerIn = 500 * time.Millisecond
 	// lingerMost bounds what is read of it meanwhile, in bytes: a request of the longest body, and some more.
 	lingerMost = 4 * maxBody
+	// lastReadsIn bounds for how long bytes are read that come in all the time, before a close.
+	lastReadsIn = 50 * time.Millisecond
+	// hurriedMost bounds how many connections without a place are still to be closed.
+	hurriedMost = 8
 	// refuseIn bounds the writing of a refusal. It blocks only for a client that does not read its answers.
 	refuseIn = 100 * time.Millisecond
 )
@@ -93,32 +97,52 @@
 	c.all.mu.Lock()
 	defer c.all.mu.Unlock()
 	c.forget()
+	if c.hurried {
+		c.all.hurried--
+	}
 	c.Conn.Close()
 }
 
 // drain reads what lies there, within bounds: to close over it would reset the connection.
 func (c *peer) drain() {
-	buf := make([]byte, 4<<10)
+	begin, buf := time.Now(), make([]byte, 4<<10)
 	for all := 0; all < lingerMost; {
 		c.Conn.SetReadDeadline(time.Now().Add(firstLook))
 		n, err := c.Conn.Read(buf)
-		if all += n; err != nil {
+		if all += n; err != nil || time.Since(begin) > lastReadsIn {
 			return
 		}
 	}
 }
 
-// hurry frees the place of a connection that waits for its other side; its reader waits no longer. The mutex is held.
+// hurry frees the place of a connection that waits for its other side: its reader waits no longer, and closes it. If many
+// are in a hurry, it is closed at once. The mutex is held.
 func (c *peer) hurry() {
 	c.forget()
+	if c.all.hurried >= hurriedMost {
+		c.Conn.Close()
+		return
+	}
+	c.all.hurried++
+	c.hurried = true
 	c.Conn.SetReadDeadline(time.Unix(1, 0))
 }
 
 // trim hurries those that have waited longest for their other side, if they are too many. The mutex is held.
 func (p *peers) trim() {
 	for p.left > p.leftMost() {
-		p.oldest(true).hurry()
+		p.longestEnded().hurry()
+	}
+}
+
+// longestEnded is the connection that has waited longest for its other side; nil if none does. The mutex is held.
+func (p *peers) longestEnded() (out *peer) {
+	for c := range p.open {
+		if c.left && (out == nil || c.since.Before(out.since)) {
+			out = c
+		}
 	}
+	return out
 }
 
 // turnAway ends a connection for which there is no place: its request, if one comes, is refused.
--- a/internal/relay/peer.go
+++ b/internal/relay/peer.go
@@ -24,6 +24,7 @@
 	left     bool      // this side has ended: nothing is served any more
 	over     bool      // the other side has ended, or the connection is broken
 	closed   bool      // by whoever serves it
+	hurried  bool      // waits for the other side no longer
 	spilt    int       // bytes read since this side ended
 	buffer   int       // the size of the server's read buffer, as its first Read shows it
 	rests    bool      // a Read waits for the first byte of a request
--- a/internal/relay/peers.go
+++ b/internal/relay/peers.go
@@ -26,6 +26,8 @@
 	open map[*peer]struct{}
 	left int // of open: ended from this side, and waiting for the other
 
+	hurried int // no longer open, and about to be closed
+
 	stopping bool      // the listener closes once its queue is empty
 	tried    time.Time // the last try to accept began
 	vain     int       // tries in a row that found the queue empty
@@ -97,7 +99,7 @@
 	p.mu.Lock()
 	waited := p.left > 0
 	for n := 0; n < descriptorsBack && p.left > 0; n++ {
-		p.oldest(true).hurry()
+		p.longestEnded().hurry()
 	}
 	if p.last = time.Now(); !waited {
 		p.most = max(1, min(p.most, len(p.open)-descriptorsBack))
@@ -120,7 +122,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for len(p.open)-p.left >= p.most {
-		out := p.oldest(false)
+		out := p.oldest()
 		switch {
 		case out == nil:
 			return false
@@ -137,8 +139,8 @@
 // leftMost is how many connections may wait for their other side, beside those that are served.
 func (p *peers) leftMost() int { return max(2, p.most/8) }
 
-// oldest is the connection that goes for another: one that was left already, or one that serves nothing.
-func (p *peers) oldest(left bool) (out *peer) {
+// oldest is the connection that goes for another; nil if each serves a request. The mutex is held.
+func (p *peers) oldest() (out *peer) {
 	now := time.Now()
 	rank := func(c *peer) int {
 		switch partial := !c.begun.IsZero(); {
@@ -150,7 +152,7 @@
 		return 2
 	}
 	for c := range p.open {
-		if c.left != left || c.active && !left {
+		if c.left || c.active {
 			continue
 		}
 		if out == nil || rank(c) < rank(out) || rank(c) == rank(out) && c.since.Before(out.since) {
@@ -164,7 +166,10 @@
 func (p *peers) note(conn net.Conn, state http.ConnState) {
 	if c, ok := conn.(*peer); ok && (state == http.StateActive || state == http.StateIdle) {
 		p.mu.Lock()
-		c.active, c.since = state == http.StateActive, time.Now()
+		c.active = state == http.StateActive
+		if !c.left {
+			c.since = time.Now()
+		}
 		switch {
 		case c.active:
 			c.stay()
--- a/internal/relay/room_test.go
+++ b/internal/relay/room_test.go
@@ -7,8 +7,10 @@
 	"net"
 	"net/http"
 	"slices"
+	"sync"
 	"syscall"
 	"testing"
+	"testing/synctest"
 	"time"
 )
 
@@ -109,7 +111,7 @@
 	begin := time.Now()
 	for i := range 20 {
 		near, _ := net.Pipe()
-		c := &peer{Conn: near, all: p, left: true, since: begin.Add(time.Duration(i) * time.Second)}
+		c := &peer{Conn: near, all: p, left: true, client: i < 10, since: begin.Add(time.Duration(i) * time.Second)}
 		p.open[c] = struct{}{}
 		p.left++
 	}
@@ -122,3 +124,41 @@
 	want(t, "ended connections that are left", len(left), 20-descriptorsBack)
 	want(t, "the longest ended of them", left[0], descriptorsBack*time.Second)
 }
+
+// Guards against descriptors that stay open beyond all bounds for connections that gave up their place.
+func TestFewConnectionsAreClosedLater(t *testing.T) {
+	p := newPeers(nil, 8)
+	for i := range hurriedMost + 1 {
+		near, far := net.Pipe()
+		defer far.Close()
+		c := &peer{Conn: near, all: p, left: true}
+		p.mu.Lock()
+		p.open[c] = struct{}{}
+		p.left++
+		c.hurry()
+		p.mu.Unlock()
+		closed := near.SetReadDeadline(time.Time{}) != nil
+		want(t, fmt.Sprint("closed at once, the ", i, "th"), closed, i >= hurriedMost)
+	}
+}
+
+// Guards against a client that holds a connection which is to be closed by sending all the time.
+func TestTheLastReadsAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		near, far := net.Pipe()
+		var sender sync.WaitGroup
+		defer sender.Wait()
+		defer near.Close()
+		sender.Go(func() {
+			for {
+				if _, err := far.Write([]byte("x")); err != nil {
+					return
+				}
+				time.Sleep(firstLook / 2)
+			}
+		})
+		begin := time.Now()
+		(&peer{Conn: near}).drain()
+		want(t, "read for no longer", time.Since(begin) <= lastReadsIn+firstLook, true)
+	})
+}
