relay: a request behind the last answer of a connection is refused, not dropped

Cause: the byte that net/http reads while it watches for the client's leaving is of the next request. When the answer under way is the connection's last, that request was read and ended with no answer.

Change: such a connection ends with a refusal of the request behind.

Tests: TestARequestBehindTheLastAnswerIsRefused (without the change: EOF); TestARequestUnderWayIsAnswered, which passed before.

--- a/internal/relay/ahead_test.go
+++ b/internal/relay/ahead_test.go
@@ -154,3 +154,23 @@
 	in.retire(false)
 	wantEnd(t, "connection", r)
 }
+
+// Guards against ending a connection with its last answer over the request behind that one, of which a byte was read.
+func TestARequestBehindTheLastAnswerIsRefused(t *testing.T) {
+	at := newInstants()
+	in := newIntakes(t, 8, at.wrap)
+	in.hold = make(chan struct{})
+	conn := in.dial(t)
+	io.WriteString(conn, strings.Replace(message7("first"), "Host: x", "Host: x\r\nConnection: close", 1))
+	<-in.came
+	at.read.arm()
+	io.WriteString(conn, message7("behind"))
+	<-at.read.reached
+	close(in.hold)
+	close(at.read.release)
+	r := bufio.NewReader(conn)
+	wantStatus(t, "answer to the first", r, http.StatusAccepted)
+	wantStatus(t, "answer to the one behind", r, http.StatusServiceUnavailable)
+	wantEnd(t, "connection", r)
+	want(t, "taken on", in.took("behind"), 0)
+}
--- a/internal/relay/ending.go
+++ b/internal/relay/ending.go
@@ -32,9 +32,9 @@
 const refusal = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 
 // end ends this side; whoever reads the connection reads on to its end. A request that has begun, and that no handler
-// answers, is refused first. The mutex is held.
+// answers, is refused first, also one behind the last that the server answers. The mutex is held.
 func (c *peer) end() {
-	refuse := c.unanswered() && !c.over
+	refuse := (c.unanswered() || c.behind) && !c.over
 	c.left, c.parting, c.since = true, false, time.Now()
 	c.all.left++
 	c.all.changed.Broadcast()
--- a/internal/relay/instants_test.go
+++ b/internal/relay/instants_test.go
@@ -166,3 +166,27 @@
 		wantEnd(t, "connection", r)
 	}
 }
+
+// Guards against an end that cuts a request under way: while a handler has it, or as its answer is being written.
+func TestARequestUnderWayIsAnswered(t *testing.T) {
+	for name, end := range map[string]func(*intakes){
+		"stop": func(in *intakes) { in.retire(true) },
+		"room": func(in *intakes) { in.room() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			at := newInstants()
+			in := newIntakes(t, 1, at.wrap)
+			in.hold = make(chan struct{})
+			conn := in.dial(t)
+			io.WriteString(conn, message7("slow"))
+			<-in.came
+			end(in)
+			at.written.arm()
+			close(in.hold)
+			<-at.written.reached
+			end(in)
+			close(at.written.release)
+			wantStatus(t, "answer", bufio.NewReader(conn), http.StatusAccepted)
+		})
+	}
+}
--- a/internal/relay/peer.go
+++ b/internal/relay/peer.go
@@ -19,6 +19,7 @@
 	answered bool      // written to since the last byte came
 	active   bool      // the head of a request has been read
 	entered  bool      // a handler has the request under way, and answers it
+	behind   bool      // the first byte of the request behind the one under way has come
 	served   bool      // a request before
 	client   bool      // has handed in a message
 	left     bool      // this side has ended: nothing is served any more
@@ -40,7 +41,7 @@
 	for {
 		c.reads(len(p))
 		n, err := c.Conn.Read(p)
-		switch c.came(n, err) {
+		switch c.came(n, len(p), err) {
 		case passOn:
 			return n, err
 		case endOfInput:
@@ -58,8 +59,9 @@
 	endOfInput                // nothing more comes for the server
 )
 
-// came notes what was read, and tells what becomes of it.
-func (c *peer) came(n int, err error) reading {
+// came notes what was read, and tells what becomes of it. For one byte the server asks only behind a request, to see its
+// client leave.
+func (c *peer) came(n, asked int, err error) reading {
 	c.all.mu.Lock()
 	defer c.all.mu.Unlock()
 	c.rests = false
@@ -76,6 +78,7 @@
 		return readOn
 	}
 	if n > 0 {
+		c.behind = c.behind || c.entered && asked == 1
 		c.begin()
 	}
 	if late && (c.parting || c.unanswered()) { // of what has begun, its client may have sent all by now
--- a/internal/relay/peers.go
+++ b/internal/relay/peers.go
@@ -177,7 +177,7 @@
 			c.begun, c.terms = time.Time{}, c.latest
 		}
 		if state == http.StateIdle {
-			c.served, c.entered = true, false
+			c.served, c.entered, c.behind = true, false, false
 		}
 		p.mu.Unlock()
 	}
