--- a/internal/relay/peers.go
+++ b/internal/relay/peers.go
@@ -13,7 +13,7 @@
 // who hold the places like. This one goes on accepting and ends the connection that has
 // been longest without a request: first those that never handed in a message.
 //
-// It alone ends connections that rest (see retire). net/http would close one whose next request is being read.
+// It alone ends connections that rest (see retire and part). net/http would close one whose next request is being read.
 type peers struct {
 	net.Listener
 	snapshot func() any // of what holds for a request from its first byte on; nil for nothing
@@ -25,13 +25,25 @@
 	last time.Time // that there were not
 	open map[*peer]struct{}
 	left int // of open: ended from this side, and waiting for the other
+
+	hurried int // no longer open, and about to be closed
+
+	stopping bool      // the listener closes once its queue is empty
+	tried    time.Time // the last try to accept began
+	vain     int       // tries in a row that found the queue empty
+	accepted bool      // the listener has been closed
+	answerBy time.Time // until then answers under way may go out as the process ends
+
+	changed *sync.Cond // a connection has ended, or is to stay
 }
 
 // partialIn is how long a request that has begun, but whose head is not whole, is left alone while places are short.
 const partialIn = 250 * time.Millisecond
 
 func newPeers(l net.Listener, most int) *peers {
-	return &peers{Listener: l, most: most, full: most, open: map[*peer]struct{}{}}
+	p := &peers{Listener: l, most: most, full: most, open: map[*peer]struct{}{}}
+	p.changed = sync.NewCond(&p.mu)
+	return p
 }
 
 // count tells how many connections there are.
@@ -51,7 +63,11 @@
 // Accept makes room for the connection that it returns.
 func (p *peers) Accept() (net.Conn, error) {
 	for {
+		p.willAccept()
 		conn, err := p.Listener.Accept()
+		if p.foundNothing(err) {
+			continue
+		}
 		if outOf(err) {
 			p.short(err)
 			continue
@@ -60,7 +76,7 @@
 			return nil, err
 		}
 		if !p.room() { // every place has a request under way
-			conn.Close()
+			p.turnAway(conn)
 			continue
 		}
 		c := &peer{Conn: conn, all: p, since: time.Now()}
@@ -82,11 +98,8 @@
 	}
 	p.mu.Lock()
 	waited := p.left > 0
-	for c := range p.open { // no time for a close in order
-		if c.left {
-			c.forget()
-			c.Conn.Close()
-		}
+	for n := 0; n < descriptorsBack && p.left > 0; n++ {
+		p.longestEnded().hurry()
 	}
 	if p.last = time.Now(); !waited {
 		p.most = max(1, min(p.most, len(p.open)-descriptorsBack))
@@ -109,25 +122,25 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for len(p.open)-p.left >= p.most {
-		out := p.oldest(false)
-		if out == nil {
+		out := p.oldest()
+		switch {
+		case out == nil:
+			return false
+		case !out.begun.IsZero():
+			out.end()
+		case !p.parted(out):
 			return false
 		}
-		out.end()
-	}
-	for p.left > p.leftMost() {
-		out := p.oldest(true)
-		out.forget()
-		out.Conn.Close()
 	}
+	p.trim()
 	return true
 }
 
 // leftMost is how many connections may wait for their other side, beside those that are served.
 func (p *peers) leftMost() int { return max(2, p.most/8) }
 
-// oldest is the connection that goes for another: one that was left already, or one that serves nothing.
-func (p *peers) oldest(left bool) (out *peer) {
+// oldest is the connection that goes for another; nil if each serves a request. The mutex is held.
+func (p *peers) oldest() (out *peer) {
 	now := time.Now()
 	rank := func(c *peer) int {
 		switch partial := !c.begun.IsZero(); {
@@ -139,7 +152,7 @@
 		return 2
 	}
 	for c := range p.open {
-		if c.left != left || c.active && !left {
+		if c.left || c.active {
 			continue
 		}
 		if out == nil || rank(c) < rank(out) || rank(c) == rank(out) && c.since.Before(out.since) {
@@ -149,46 +162,23 @@
 	return out
 }
 
-// retire ends connections between requests: those that rest, and with all those that have not sent a whole head yet. It
-// tells how many connections are left, whatever their state.
-func (p *peers) retire(all bool) int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for c := range p.open {
-		fresh := !c.served && time.Since(c.since) < freshPeer
-		if !c.left && !c.active && (all || c.begun.IsZero() && !fresh) {
-			c.end()
-		}
-	}
-	return len(p.open)
-}
-
-// freshPeer is how long a connection that has just come may be without a request: clients wait 400 ms for their answer.
-const freshPeer = 400 * time.Millisecond
-
 // note follows the server's view of a connection.
 func (p *peers) note(conn net.Conn, state http.ConnState) {
 	if c, ok := conn.(*peer); ok && (state == http.StateActive || state == http.StateIdle) {
 		p.mu.Lock()
-		c.active, c.since = state == http.StateActive, time.Now()
+		c.active = state == http.StateActive
+		if !c.left {
+			c.since = time.Now()
+		}
+		switch {
+		case c.active:
+			c.stay()
+		case c.answered: // what was read ahead shows at the next Read, and came with the last bytes
+			c.begun, c.terms = time.Time{}, c.latest
+		}
 		if state == http.StateIdle {
-			c.served = true
-			if c.answered { // nothing has come since: else it is of the next request
-				c.begun, c.terms = time.Time{}, nil
-			}
+			c.served, c.entered, c.behind = true, false, false
 		}
 		p.mu.Unlock()
 	}
 }
-
-// emptyIn is how long requests under way may take to be answered once nothing more is decided, and connections to end.
-const emptyIn = 250 * time.Millisecond
-
-// empty ends all connections, each after its answer.
-func (p *peers) empty(s *http.Server) {
-	p.Listener.Close()
-	for end := time.Now().Add(emptyIn); p.retire(true) > 0 && time.Now().Before(end); {
-		time.Sleep(2 * time.Millisecond)
-	}
-	s.Close()
-}
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"larchrouter/internal/discovery"
@@ -33,17 +34,24 @@
 	}
 	r.endCalls(errStopping)
 	r.closing.Store(true)
-	r.listener.empty(r.server)
+	r.endConnections()
+}
+
+// endConnections ends all that came in, on both addresses at once: the time for it is short.
+func (r *Relay) endConnections() {
+	var all sync.WaitGroup
+	all.Go(func() { r.listener.empty(r.server) })
 	if r.admin != nil {
-		r.adminPeers.empty(r.admin)
+		all.Go(func() { r.adminPeers.empty(r.admin) })
 	}
+	all.Wait()
 }
 
 // The times of an orderly stop, from SIGTERM. New connections come for 0.4 s
 // more, SIGKILL after 3.7 s.
 const (
 	stopKeeping = 500 * time.Millisecond  // then connections end between requests
-	stopTaking  = 800 * time.Millisecond  // then none is accepted
+	stopTaking  = 800 * time.Millisecond  // then those that wait are accepted, and no more
 	stopPassing = 2300 * time.Millisecond // after a hand-over: then connections without a request end
 	stopSending = 2600 * time.Millisecond // then no more calls go out
 	stopAll     = 3300 * time.Millisecond // then calls still out are left to the journal
@@ -58,12 +66,11 @@
 		// The clients' connections end with their next answer, none of them under a request.
 		from, taking = stopPassing, stopPassing
 	}
+	r.listener.answerUntil(begin.Add(stopAll + emptyIn))
 	time.Sleep(from - time.Since(begin))
 	r.closing.Store(true)
 	for took := time.Since(begin); took < stopAll; took = time.Since(begin) {
-		if took >= taking {
-			r.listener.Close()
-		}
+		accepted := took >= taking && r.listener.stopAccepting()
 		peers := r.listener.retire(took >= stopSending)
 		idle := make(chan bool, 1)
 		r.post(func() {
@@ -74,7 +81,7 @@
 		case <-r.quit:
 			return
 		case is := <-idle:
-			if is && took >= taking && peers == 0 {
+			if is && accepted && peers == 0 {
 				r.stop()
 				return
 			}
