--- a/choice/hand.go
+++ b/choice/hand.go
@@ -1,6 +1,7 @@
 package choice
 
 import (
+	"cmp"
 	"maps"
 	"time"
 )
@@ -70,10 +71,7 @@
 // budget is this relay's share of the calls that the rule allows in its window, a while after a return, and of all from
 // the return to then; before it, of a window just after it.
 func (c *Chooser) budget(u *unit, back time.Duration) (window, sum float64) {
-	rate := u.listed
-	if rate == 0 {
-		rate = max(u.base, 1/c.set.Rules.Cold.Seconds()) * float64(c.set.Fleet)
-	}
+	rate := cmp.Or(u.listed, max(u.base, 1/c.set.Rules.Cold.Seconds())*float64(c.set.Fleet))
 	k, t, cold := c.set.Rules, back.Seconds(), c.set.Rules.Cold.Seconds()
 	one, way := budgetShare*k.OverloadFactor*rate/float64(c.set.Fleet), min(max(0, t/cold), 1)
 	whole := max(0, t-cold) + (1-k.ColdFrom)*way*way/2*cold + k.ColdFrom*min(t, cold)
--- a/choice/health.go
+++ b/choice/health.go
@@ -1,6 +1,7 @@
 package choice
 
 import (
+	"cmp"
 	"math"
 	"math/bits"
 	"slices"
@@ -105,18 +106,14 @@
 	if c.now-u.cutAt >= time.Second && !c.thin(u) {
 		// Over at least the even share of a call, or the refused call alone counts as more than its share.
 		span := min(max(time.Second, c.even(u)), c.set.Rules.Cold)
-		if own := c.sent(u.sends, span) / span.Seconds(); u.limit == 0 || own < u.limit {
-			u.limit = own
-		}
-		u.limit = max(u.limit*cut, 1/c.set.Rules.Cold.Seconds(), u.listed/float64(c.set.Fleet)/2)
+		own := c.sent(u.sends, span) / span.Seconds()
+		u.limit = max(min(cmp.Or(u.limit, own), own)*cut, 1/c.set.Rules.Cold.Seconds(), u.listed/float64(c.set.Fleet)/2)
 		u.cutAt, u.tokens = c.now, min(u.tokens, 0)
 	}
 }
 
 func (c *Chooser) served(u *unit, d *dest, took time.Duration) {
-	if u.pace == 0 {
-		u.pace = took.Seconds()
-	}
+	u.pace = cmp.Or(u.pace, took.Seconds())
 	u.pace += (took.Seconds() - u.pace) / 8
 	cold := c.set.Rules.Cold.Seconds()
 	u.served = u.served*math.Exp(-(c.now-u.lastServed).Seconds()/cold) + 1/cold
@@ -149,12 +146,10 @@
 func (c *Chooser) watch() {
 	for d := range c.callers {
 		for _, u := range d.units {
-			if u.state == healthy && len(u.outs) > 0 {
-				quiet := c.now - max(u.outs[0].sent, u.lastServed)
-				if quiet > c.patience(d) {
-					u.risky = true
-					c.suspect(u, d, "silent")
-				}
+			waits := u.state == healthy && len(u.outs) > 0
+			if waits && c.now-max(u.outs[0].sent, u.lastServed) > c.patience(d) {
+				u.risky = true
+				c.suspect(u, d, "silent")
 			}
 		}
 	}
@@ -165,15 +160,11 @@
 	if c.now < u.waitUntil || c.now < u.pauseUntil {
 		return false
 	}
-	switch u.state {
-	case suspect:
+	if u.state == suspect {
 		return len(u.outs) <= 1 && c.now >= u.trialAt
-	case recovering:
-		if !c.affords(u.sends, u, u.since, 1) {
-			return false
-		}
 	}
-	return u.limit == 0 || u.tokens >= 1
+	affords := u.state != recovering || c.affords(u.sends, u, u.since, 1)
+	return affords && (u.limit == 0 || u.tokens >= 1)
 }
 
 // refill brings pace and tokens up to a time.
--- a/choice/restore.go
+++ b/choice/restore.go
@@ -14,15 +14,14 @@
 	if m.ran = e.Ran; e.Ran {
 		m.ranAt, m.ranZone, m.unsure = c.now-e.RanAgo, e.RanZone, c.now
 	}
-	if e.Out != nil && c.hosts[e.Out.Host] != nil {
+	switch {
+	case e.Out != nil && c.hosts[e.Out.Host] != nil:
 		c.adopt(m, e.Out)
-		return
-	}
-	if m.attempts >= m.most || !c.repeatable(m) {
+	case m.attempts >= m.most || !c.repeatable(m):
 		c.final(m)
-		return
+	default:
+		c.retime(m)
 	}
-	c.retime(m)
 }
 
 // unwell guards a returning destination against relays that restart, also all at once: what they sent last is forgotten.
@@ -31,8 +30,7 @@
 	if h == nil {
 		return
 	}
-	h.unit.served = e.Base
-	h.unit.risky, h.unit.errors, h.unit.bad = true, true, 1 // one answer does not prove it well
+	h.unit.served, h.unit.bad, h.unit.risky, h.unit.errors = e.Base, 1, true, true // not well by one answer
 	c.suspect(h.unit, h.dest, "unwell before the restart")
 	n, _ := c.budget(h.unit, 0)
 	h.unit.sends = slices.Repeat([]time.Duration{c.now}, int(n)+1)
--- a/choice/turn.go
+++ b/choice/turn.go
@@ -123,8 +123,7 @@
 	c.busy, d.out, h.out, d.lastTurn = c.busy+1, d.out+1, h.out+1, c.now
 	c.calls(d, 1)
 	old := func(t time.Duration) bool { return c.now-t > max(c.set.Rules.Cold, time.Second) }
-	u.outs, u.sends = append(u.outs, k), append(slices.DeleteFunc(u.sends, old), c.now)
-	weight := 1
+	u.outs = append(u.outs, k)
 	u.tokens--
 	if u.state == suspect {
 		u.trialAt = c.now + c.patience(d)<<min(u.trials, 4) + c.gap(u)
@@ -137,12 +136,11 @@
 		}
 		c.send(m, k)
 	}
-	if len(k.members) > 1 {
-		u.sends = append(u.sends, c.now) // further messages weigh a little: counted as one more call
-		weight++
-	}
+	// Further messages weigh a little: counted as one more call.
+	weight := slices.Repeat([]time.Duration{c.now}, min(len(k.members), 2))
+	u.sends = append(slices.DeleteFunc(u.sends, old), weight...)
 	if _, cold := c.cold[h.Addr]; cold {
-		h.sends = append(slices.DeleteFunc(h.sends, old), slices.Repeat([]time.Duration{c.now}, weight)...)
+		h.sends = append(slices.DeleteFunc(h.sends, old), weight...)
 	}
 	return true
 }
