choice: an outage in the ramp is not taken for over at one answer

Cause: one answer within a rule's window of the last, with no error answered between, ended an outage at once, also where the destination was still cold from the one before: all that waited went, without a budget. Change: an outage that begins while a destination recovers is followed by a recovery of its own. TestSlowStartTwice (out for 4 s, 1 to 300 relays) holds before and after.

--- a/choice/health.go
+++ b/choice/health.go
@@ -31,8 +31,7 @@
 		return
 	}
 	c.bad(u)
-	u.risky = u.risky || o != NoConnection
-	u.errors = u.errors || o == Error
+	u.risky, u.errors = u.risky || o != NoConnection, u.errors || o == Error
 	u.note(true)
 	alone := c.thin(u) && c.now-u.lastServed > c.set.Rules.Fall // nothing here speaks against an outage
 	if u.state != suspect && (alone || bits.OnesCount(u.recent) >= outage) {
@@ -62,6 +61,7 @@
 	if u.state == healthy {
 		u.base = max(u.served, 1/c.set.Rules.Cold.Seconds())
 	}
+	u.errors = u.errors || u.state == recovering // one answer does not prove such a one well
 	c.touch(d)
 	c.log("destination %d unit %s suspect: %s", d.id, u.name, why)
 	u.state, u.since, u.trials, u.streak = suspect, c.now, 0, 0
--- a/choice/outage_test.go
+++ b/choice/outage_test.go
@@ -1,6 +1,7 @@
 package choice
 
 import (
+	"fmt"
 	"testing"
 	"time"
 )
@@ -36,3 +37,41 @@
 		}
 	}
 }
+
+// Guards against a destination that goes out again while it still warms up: one answer after that was taken for health, since
+// the last one was less than a rule's window ago, and it got all that waited.
+func TestShortOutageWhileRecovering(t *testing.T) {
+	r := newRig(t, settings(), ready("a", 1, 0, 0))
+	u := r.c.hosts["a"].unit
+	r.step(arrival("well", 0))
+	r.step(r.end("well", "a", Served))
+	u.state, u.since = recovering, r.now
+	r.now += 500 * ms
+	for u.state == recovering {
+		for _, a := range sends(r.step(arrival(fmt.Sprint("m", r.now), 0))) {
+			r.step(r.end(a.ID, "a", NoConnection))
+		}
+		r.now += 20 * ms
+	}
+	if u.state != suspect || r.now-u.lastServed >= r.c.set.Rules.Fall {
+		t.Fatalf("state %d %v after an answer, want an outage that soon", u.state, r.now-u.lastServed)
+	}
+	for u.state == suspect {
+		for _, a := range sends(r.after(20 * ms)) {
+			r.step(r.end(a.ID, "a", Served))
+		}
+	}
+	if u.state != recovering {
+		t.Errorf("state %d after one answer, want it to recover within its budget", u.state)
+	}
+}
+
+// The same by the calls that come of it, of one relay.
+func TestShortOutageInTheRampOfOneRelay(t *testing.T) {
+	p := slowStart{fleet: 1, rate: 40, load: 1.5, again: 3 * time.Second, outAgain: time.Second}
+	for p.draw = range 5 {
+		if got, most := p.play(t).worst(); got > most || got == 0 {
+			t.Errorf("draw %d: %.0f calls in a window of %.1f", p.draw, got, most)
+		}
+	}
+}
