choice: a restart does not begin a new window of an endpoint given back by hand

Cause: a relay that restarts while such an endpoint is cold knows when it came back, but not what it sent there, and sent the window's calls once more. It broke the rule with one relay, too. Change: a part of one call or more counts as spent for a window from the start on, as after an outage.

--- a/choice/hand.go
+++ b/choice/hand.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"slices"
 	"time"
 )
 
@@ -47,13 +48,22 @@
 		h.sends = nil
 		return true
 	}
-	part := 1 / float64(max(1, h.unit.ready(h.dest)))
-	if h.sends == nil { // as if a call had gone a while ago: the first ones of all relays must not come in one window
-		n, _ := c.budget(h.unit, c.now-at)
-		ago := c.rand.Float64() * float64(c.set.Rules.Fall) / min(n*part, 1)
-		h.sends = []time.Duration{c.now - time.Duration(ago)}
+	if h.sends == nil {
+		h.sends = c.firstSends(h, c.now-at)
 	}
-	return c.affords(h.sends, h.unit, at, part)
+	return c.affords(h.sends, h.unit, at, h.part())
+}
+
+// firstSends stands for the calls since a return, where none are known. If it was before this relay's start,
+// a window counts as spent; a part of less than one call is partly used, by chance, lest relays call in step.
+func (c *Chooser) firstSends(h *host, back time.Duration) []time.Duration {
+	n, _ := c.budget(h.unit, back)
+	started := h.unit.born + time.Second
+	if n*h.part() >= 1 && c.now-back < started {
+		return slices.Repeat([]time.Duration{started}, int(n*h.part())+1)
+	}
+	ago := c.rand.Float64() * float64(c.set.Rules.Fall) / min(n*h.part(), 1)
+	return []time.Duration{c.now - time.Duration(ago)}
 }
 
 // affords tells whether one more call keeps to a part of the budget of what returned at a time: to that of the rule's
--- a/choice/slowstart_rule_test.go
+++ b/choice/slowstart_rule_test.go
@@ -127,3 +127,15 @@
 		"one restarts":      {load: 1.5, skew: 1, again: 5 * time.Second, outAgain: 4 * time.Second, restarted: 1},
 	})
 }
+
+// Guards against relays that restart in the ramp of an endpoint given back by hand, and start a window of their own.
+func TestSlowStartByHand(t *testing.T) {
+	soon := []time.Duration{700 * ms}
+	keepsToTheRule(t, map[string]slowStart{
+		"unequal traffic":        {load: 1.5, byHand: true, skew: 1},
+		"one restarts":           {load: 1.5, byHand: true, restarted: 1},
+		"40% restart":            {load: 1.5, byHand: true, restarted: 40, skew: 1},
+		"all restart twice":      {load: 1.5, byHand: true, restarted: 100, together: true, gaps: soon},
+		"routes apart, restarts": {load: 1.5, byHand: true, restarted: 100, together: true, routes: 2},
+	})
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -177,14 +177,15 @@
 	return n
 }
 
-// ready counts the endpoints of a unit that are on the list and do not drain.
-func (u *unit) ready(d *dest) (n int) {
-	for _, h := range d.hosts {
-		if h.unit == u && h.State == Ready {
-			n++
+// part of a host in the budget of its unit: all endpoints on the list that do not drain have the same.
+func (h *host) part() float64 {
+	ready := 0
+	for _, other := range h.dest.hosts {
+		if other.unit == h.unit && other.State == Ready {
+			ready++
 		}
 	}
-	return n
+	return 1 / float64(max(1, ready))
 }
 
 // spread has a table use buckets of another width; each one's samples stay together, at their mean.
