choice: parts of less than one call are spread evenly of what has come of the budget

Cause: the calls of many relays to an endpoint given back by hand came in step in three ways. The part used before the first call was drawn as a time, at the pace of that moment: in the ramp less than the whole of a call could come of it, and the first calls of all came in the rest. A second return counted from the calls before the first one. And as the list's rate rose, what had come at the old one counted at the new. Change: the draw is of the budget's sum itself; a second return and a new rate draw anew. Tests, without the mend: TestSlowStartByHandInSmallParts 75 calls of 57.1 and 175 of 156.4 (the rate is raised threefold, 300 relays); TestSmallPartsAreSpread 128, 222, 50 and 0 of 400 relays by quarters of a call after a restart, and all 400 in step after a higher rate.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -88,6 +88,7 @@
 		h.unit.many = h.dest.kind.PerCall > 1
 		if h.Host = n; c.set.Listed && n.State == Ready && n.Rate != h.unit.weight {
 			h.unit.weight, h.unit.listed = n.Rate, n.Rate // what answers report since is better than this
+			c.redraw(h)
 			if h.unit.limit == 0 {
 				if h.unit.limit = c.first(h.unit); h.unit.limit < n.Rate {
 					h.unit.limitAt, h.unit.tokens = c.now, 1
--- a/choice/hand.go
+++ b/choice/hand.go
@@ -28,6 +28,7 @@
 		c.cold[e.Host] = c.now - e.Ago
 		if h != nil {
 			h.fails, h.retryAt = 0, 0
+			c.redraw(h)
 		}
 		c.log("endpoint %s is back", e.Host)
 	}
@@ -54,16 +55,27 @@
 	return c.affords(h.sends, h.unit, at, h.part())
 }
 
+// redraw has a part of less than one call start anew, or those of all relays may come in step.
+func (c *Chooser) redraw(h *host) {
+	if n, _ := c.budget(h.unit, c.now-c.cold[h.Addr]); n*h.part() < 1 {
+		h.sends = nil
+	}
+}
+
 // firstSends stands for the calls since a return, where none are known. If it was before this relay's start,
 // a window counts as spent; a part of less than one call is partly used, by chance, lest relays call in step.
 func (c *Chooser) firstSends(h *host, back time.Duration) []time.Duration {
-	n, _ := c.budget(h.unit, back)
+	n, sum := c.budget(h.unit, back)
 	started := h.unit.born + time.Second
 	if n*h.part() >= 1 && c.now-back < started {
 		return slices.Repeat([]time.Duration{started}, int(n*h.part())+1)
 	}
-	ago := c.rand.Float64() * float64(c.set.Rules.Fall) / min(n*h.part(), 1)
-	return []time.Duration{c.now - time.Duration(ago)}
+	ago, left := time.Duration(0), c.rand.Float64()*max(n, 1/h.part())
+	for range 8 { // Newton's method, for when so much less had come of the sum
+		then, before := c.budget(h.unit, back-ago)
+		ago += time.Duration((left - sum + before) / then * float64(c.set.Rules.Fall))
+	}
+	return []time.Duration{c.now - ago}
 }
 
 // affords tells whether one more call keeps to a part of the budget of what returned at a time: to that of the rule's
--- a/choice/hand_test.go
+++ b/choice/hand_test.go
@@ -76,3 +76,45 @@
 		}
 	}
 }
+
+// Guards against relays with parts of less than one call that come to it in step: after a restart in the ramp, as an endpoint
+// is given back once more, and as the list's rate changes, what they have of it must be spread evenly, from none to all.
+func TestSmallPartsAreSpread(t *testing.T) {
+	const relays = 400
+	s := settings()
+	s.Fleet = relays
+	host := ready("a", 1, 0, 0)
+	host.Rate = 30
+	faster := host
+	faster.Rate = 90
+	back := []Event{ByHand{Host: "a", Out: true}, ByHand{Host: "a"}}
+	for name, then := range map[string][]Event{
+		"restart":       {ByHand{Host: "a", Ago: 7 * time.Second}},
+		"back again":    back,
+		"a higher rate": {Listing{Hosts: []Host{faster}}},
+	} {
+		var parts [4]int
+		for seed := range uint64(relays) {
+			c, err := New(s, seed)
+			if err != nil {
+				t.Fatal(err)
+			}
+			h := Listing{Whole: true, Hosts: []Host{host}}
+			c.Step(time.Hour, []Event{h})
+			if name != "restart" {
+				c.Step(time.Hour, append(back, arrival("first", 0))) // it draws its part
+			}
+			c.Step(time.Hour+7*time.Second, append(then, arrival("m", 0)))
+			a := c.hosts["a"]
+			_, sum := c.budget(a.unit, c.now-c.cold["a"])
+			_, was := c.budget(a.unit, a.sends[len(a.sends)-1]-c.cold["a"])
+			parts[min(3, int(4*(sum-was)))]++
+		}
+		for _, n := range parts {
+			if n < relays/4-40 || n > relays/4+40 {
+				t.Errorf("%s: %v relays of %d have so many quarters of a call", name, parts, relays)
+				break
+			}
+		}
+	}
+}
--- a/choice/slowstart_rule_test.go
+++ b/choice/slowstart_rule_test.go
@@ -139,3 +139,18 @@
 		"routes apart, restarts": {load: 1.5, byHand: true, restarted: 100, together: true, routes: 2},
 	})
 }
+
+// Guards against relays whose parts are less than one call each, and come to their calls in step.
+func TestSlowStartByHandInSmallParts(t *testing.T) {
+	keepsToTheRule(t, map[string]slowStart{
+		"all restart":        {load: 1.5, byHand: true, restarted: 100, together: true},
+		"given back twice":   {load: 1.5, byHand: true, again: 5 * time.Second, outAgain: time.Second},
+		"the rate is raised": {load: 1.5, byHand: true, rateTo: 3},
+	})
+	p := slowStart{fleet: 300, rate: 69, load: 1.5, byHand: true, again: 5 * time.Second, outAgain: time.Second}
+	for p.draw = range 3 {
+		if got, most := p.play(t).worst(); got > most || got == 0 {
+			t.Errorf("given back twice, fleet of %d, draw %d: %.0f calls in a window of %.1f", p.fleet, p.draw, got, most)
+		}
+	}
+}
