--- a/choice/cold_test.go
+++ b/choice/cold_test.go
@@ -143,7 +143,8 @@
 	return calls, untold
 }
 
-// over tells by how much the worst window is above what chance explains, and the calls as a share of the budget of all windows.
+// over returns the worst window beside N plus 2 root N plus 2, and the calls as a share of the budget of all windows. Under 30
+// calls the rule allows a little more (slowStartBound); these plays keep to the stricter form.
 func (p coldPlay) over(calls []time.Duration) (worst, bound, part float64) {
 	s := p.settings()
 	n := func(at time.Duration) float64 { // what the destination takes in a window that ends then
