--- a/choice/slowstart_test.go
+++ b/choice/slowstart_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -180,14 +181,15 @@
 		return result
 	})
 	re.later(now, s.listing(now))
-	for host, base := range re.unwell {
-		re.later(now, Unwell{Host: host, Base: base})
+	for _, host := range slices.Sorted(maps.Keys(re.unwell)) {
+		re.later(now, Unwell{Host: host, Base: re.unwell[host]})
 	}
-	for host, said := range re.byHand {
+	for _, host := range slices.Sorted(maps.Keys(re.byHand)) {
+		said := re.byHand[host]
 		re.later(now, ByHand{Host: host, Out: said.event.(ByHand).Out, Ago: max(ms, now-said.at)})
 	}
-	for id, until := range re.held {
-		re.later(now, Restored{Arrival: Arrival{ID: id, Dest: 1, Left: until - now}})
+	for _, id := range slices.Sorted(maps.Keys(re.held)) {
+		re.later(now, Restored{Arrival: Arrival{ID: id, Dest: 1, Left: re.held[id] - now}})
 	}
 }
 
