--- a/choice/hand.go
+++ b/choice/hand.go
@@ -1,7 +1,9 @@
 package choice
 
 import (
+	"cmp"
 	"maps"
+	"slices"
 	"time"
 )
 
@@ -26,6 +28,7 @@
 		c.cold[e.Host] = c.now - e.Ago
 		if h != nil {
 			h.fails, h.retryAt = 0, 0
+			c.redraw(h)
 		}
 		c.log("endpoint %s is back", e.Host)
 	}
@@ -46,13 +49,33 @@
 		h.sends = nil
 		return true
 	}
-	part := 1 / float64(max(1, h.unit.ready(h.dest)))
-	if h.sends == nil { // as if a call had gone a while ago: the first ones of all relays must not come in one window
-		n, _ := c.budget(h.unit, c.now-at)
-		ago := c.rand.Float64() * float64(c.set.Rules.Fall) / min(n*part, 1)
-		h.sends = []time.Duration{c.now - time.Duration(ago)}
+	if h.sends == nil {
+		h.sends = c.firstSends(h, c.now-at)
 	}
-	return c.affords(h.sends, h.unit, at, part)
+	return c.affords(h.sends, h.unit, at, h.part())
+}
+
+// redraw has a part of less than one call start anew, or those of all relays may come in step.
+func (c *Chooser) redraw(h *host) {
+	if n, _ := c.budget(h.unit, c.now-c.cold[h.Addr]); n*h.part() < 1 {
+		h.sends = nil
+	}
+}
+
+// firstSends stands for the calls since a return, where none are known. If it was before this relay's start,
+// a window counts as spent; a part of less than one call is partly used, by chance, lest relays call in step.
+func (c *Chooser) firstSends(h *host, back time.Duration) []time.Duration {
+	n, sum := c.budget(h.unit, back)
+	started := h.unit.born + time.Second
+	if n*h.part() >= 1 && c.now-back < started {
+		return slices.Repeat([]time.Duration{started}, int(n*h.part())+1)
+	}
+	ago, left := time.Duration(0), c.rand.Float64()*max(n, 1/h.part())
+	for range 8 { // Newton's method, for when so much less had come of the sum
+		then, before := c.budget(h.unit, back-ago)
+		ago += time.Duration((left - sum + before) / then * float64(c.set.Rules.Fall))
+	}
+	return []time.Duration{c.now - ago}
 }
 
 // affords tells whether one more call keeps to a part of the budget of what returned at a time: to that of the rule's
@@ -70,10 +93,7 @@
 // budget is this relay's share of the calls that the rule allows in its window, a while after a return, and of all from
 // the return to then; before it, of a window just after it.
 func (c *Chooser) budget(u *unit, back time.Duration) (window, sum float64) {
-	rate := u.listed
-	if rate == 0 {
-		rate = max(u.base, 1/c.set.Rules.Cold.Seconds()) * float64(c.set.Fleet)
-	}
+	rate := cmp.Or(u.listed, max(u.base, 1/c.set.Rules.Cold.Seconds())*float64(c.set.Fleet))
 	k, t, cold := c.set.Rules, back.Seconds(), c.set.Rules.Cold.Seconds()
 	one, way := budgetShare*k.OverloadFactor*rate/float64(c.set.Fleet), min(max(0, t/cold), 1)
 	whole := max(0, t-cold) + (1-k.ColdFrom)*way*way/2*cold + k.ColdFrom*min(t, cold)
