--- a/internal/lab/history/history.go
+++ b/internal/lab/history/history.go
@@ -55,7 +55,8 @@
 	Down    Kind = "down"    // an outage of a destination begins: Dest, How
 	Up      Kind = "up"      // and ends: Dest; it is cold from now on where Figures has "cold" seconds
 	Limit   Kind = "limit"   // a destination takes another rate: Dest, Figures has "rate"
-	Fell    Kind = "fell"    // a cold destination was pushed over: Dest, Figures is the load by relay in that span
+	Fell    Kind = "fell"    // a destination in slow start was pushed over: Dest, Figures has "allowed", the calls that its settings
+	// allow it in that span (N), "calls", those that it got, and how many of them came from each relay
 	// Stranger is a peer that sends what is no message, or nothing, and how it fared: Relay, Begun (its connection came
 	// up), How (what it sent), Status (0 for none), State is closed, answered or waits; Left is the time it allows.
 	Stranger Kind = "stranger"
--- /dev/null
+++ b/internal/lab/platform/answer.go
@@ -0,0 +1,101 @@
+package platform
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"larchrouter/internal/lab/history"
+)
+
+// answer sends an answer, and records when the relay had it.
+func (e *endpoint) answer(j *job, status int, wait time.Duration) {
+	d, p := e.of, e.of.all
+	header := ""
+	if wait > 0 {
+		wait = wait.Round(time.Millisecond)
+		header = fmt.Sprintf("Retry-After: %.3f\r\n", wait.Seconds())
+	}
+	d.mu.Lock()
+	drained := e.refuses
+	if !drained {
+		header += e.load()
+	}
+	garbled := status < 400 && e.trouble.Garbles > 0 && d.rand.Float64() < e.trouble.Garbles
+	text, says := "", 0
+	if garbled {
+		text, says = garble(d.rand, j.many)
+	}
+	d.mu.Unlock()
+	var body []byte
+	if j.many && status == 200 {
+		for _, id := range j.ids {
+			body = append(body, id+" ok\r\n"...)
+		}
+	}
+	written := func(at int64, ok bool) {
+		e := history.Event{T: at, Kind: history.Answer, Relay: j.relay, Call: j.call, Status: status, Wait: wait.Milliseconds()}
+		if garbled {
+			e.Status, e.How = says, history.Unreadable
+		}
+		if gone := j.conn.GoneAt(); gone > 0 && gone <= at { // it was written to nobody
+			e = history.Event{T: gone, Kind: history.Gone, Relay: j.relay, Call: j.call}
+		}
+		if ok || e.Kind == history.Gone {
+			p.Record(e)
+		}
+		j.done()
+	}
+	if !garbled {
+		respond(j.conn, status, header, body, written)
+		return
+	}
+	j.conn.Send([]byte(text), written)
+	j.conn.Close()
+}
+
+// garble is an answer that no relay can read, and the status that it still tells: 200 where its first line says so
+// and it answers one message, else 0.
+func garble(r *rand.Rand, many bool) (text string, says int) {
+	junk := make([]byte, 20+r.IntN(200))
+	for i := range junk {
+		junk[i] = byte(r.Uint32())
+	}
+	const ok = "HTTP/1.1 200 OK\r\n"
+	switch r.IntN(6) {
+	case 0:
+		return string(junk), 0
+	case 1:
+		return "HTTP/1.1 2x0 OK\r\nContent-Length: 0\r\n\r\n", 0
+	case 2:
+		return "HTTP/1.1 200"[:5+r.IntN(7)], 0
+	case 3:
+		text = ok + "Content-Length: many\r\n\r\n"
+	case 4:
+		text = ok + "Content-Length: 500\r\n\r\n" + string(junk)
+	default:
+		text = ok + "\x00" + string(junk) + "\r\n\r\n"
+	}
+	if many {
+		return text, 0
+	}
+	return text, 200
+}
+
+// load is the report of an answer, which is as old as the last refreshing. The lock is held.
+func (e *endpoint) load() string {
+	d := e.of
+	if d.Rate <= 0 {
+		return ""
+	}
+	if now := time.Now(); now.Sub(e.reported).Seconds() > d.all.Draw.ReportEvery {
+		noise := func() float64 { return 1 + d.all.Draw.ReportNoise*d.rand.NormFloat64() }
+		data, err := json.Marshal(map[string]float64{"x0": max(0, d.left()*noise()), "x1": max(0, d.Rate*noise())})
+		if err != nil {
+			return ""
+		}
+		e.report, e.reported = "X-Load: "+string(data)+"\r\n", now
+	}
+	return e.report
+}
--- /dev/null
+++ b/internal/lab/platform/discovery_test.go
@@ -0,0 +1,105 @@
+package platform
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"larchrouter/internal/lab/history"
+)
+
+// Guards against lists that a relay cannot follow: changes since a version, the whole list to whoever is behind,
+// watches that end with a change, with their time, and when discovery goes down; notices taken all the while.
+func TestDiscovery(t *testing.T) {
+	env := newEnv(t, nil)
+	p := NewPartners(env.Env)
+	d := NewDiscovery(env.Env, p)
+	var ends []string
+	d.Noticed = func(id, status string, _ time.Duration) { ends = append(ends, id+" "+status) }
+	d.Reach("relay/0", "endpoint/1", "127.0.0.1:77")
+	addr, err := d.Serve("relay/0", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	get := func(query string) (int, answer) {
+		t.Helper()
+		resp, err := http.Get("http://" + addr + "/discovery/hosts" + query)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer resp.Body.Close()
+		var a answer
+		if resp.StatusCode == 200 {
+			if err := json.NewDecoder(resp.Body).Decode(&a); err != nil {
+				t.Fatal(err)
+			}
+		}
+		return resp.StatusCode, a
+	}
+	whole := len(p.eps)
+	if status, a := get(""); status != 200 || !a.Full || a.Version != 1 || len(a.Servers) != whole || a.Servers[1].Addr != "127.0.0.1:77" {
+		t.Errorf("whole list: %d, %+v", status, a)
+	}
+	if _, a := get("?since=1&timeout_ms=1"); a.Full || a.Version != 1 || len(a.Servers) != 0 {
+		t.Errorf("a watch that ends with its time: %+v", a)
+	}
+	if _, a := get("?since=99&timeout_ms=1"); !a.Full {
+		t.Errorf("a watch from a version that is not there yet: %+v", a)
+	}
+	type said struct {
+		status int
+		answer
+	}
+	watch := func(query string) chan said {
+		ch, before := make(chan said, 1), env.count(history.Asked)
+		go func() { status, a := get(query); ch <- said{status, a} }()
+		for env.count(history.Asked) == before {
+			time.Sleep(time.Millisecond)
+		}
+		return ch
+	}
+	w := watch("?since=1&timeout_ms=60000")
+	d.Set("endpoint/1", "leaving", nil)
+	if got := <-w; got.Full || got.Version != 2 || len(got.Servers) != 1 || got.Servers[0].State != "leaving" {
+		t.Errorf("a watch that ends with a change: %+v", got)
+	}
+	left := make(chan struct{})
+	d.Set("endpoint/1", "left", func() { close(left) })
+	<-left
+	if _, a := get(""); len(a.Servers) != whole-1 {
+		t.Errorf("%d endpoints in the whole list after one left, want %d", len(a.Servers), whole-1)
+	}
+	if _, a := get("?since=2"); len(a.Servers) != 1 || a.Servers[0].State != "left" {
+		t.Errorf("a change since version 2: %+v", a)
+	}
+	w = watch("?since=3&timeout_ms=60000")
+	d.Down(true)
+	if got := <-w; got.status != 503 {
+		t.Errorf("a watch ends with %d as discovery goes down, want 503", got.status)
+	}
+	if status, _ := get(""); status != 503 {
+		t.Errorf("status %d while it is down, want 503", status)
+	}
+	for body, want := range map[string]int{
+		"{\"id\":\"a\",\"status\":\"deferred\",\"again_ms\":5}\n{\"id\":\"b\",\"status\":\"undeliverable\"}\n": 204,
+		"{\"id\":\"c\",\"status\":\"gone\"}\n": 400, "nothing": 400, "{\"status\":\"deferred\"}": 400,
+	} {
+		resp, err := http.Post("http://"+addr+"/status", "application/json", strings.NewReader(body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp.Body.Close()
+		if resp.StatusCode != want {
+			t.Errorf("notice %q is answered %d, want %d", body, resp.StatusCode, want)
+		}
+	}
+	if got := strings.Join(ends, ", "); got != "a deferred, b undeliverable" {
+		t.Errorf("ends %q", got)
+	}
+	d.Down(false)
+	if status, _ := get(""); status != 200 {
+		t.Errorf("status %d once it is up again", status)
+	}
+}
--- a/internal/lab/rules/processes.go
+++ b/internal/lab/rules/processes.go
@@ -80,17 +80,11 @@
 	}
 }
 
+// fell judges a destination in slow start that got too much, whoever sent it.
 func (c *Checker) fell(e history.Event) {
 	c.looked(Cold)
-	var knew, all float64
-	for who, load := range e.Figures {
-		all += load
-		if strings.HasPrefix(who, "knew:") {
-			knew += load
-		}
-	}
-	if all > 0 && knew >= all*2/3 {
-		c.broken(Cold, e.T, "", fmt.Sprintf("destination %d, back and cold, was pushed over by relays that had seen it fail: %s", e.Dest, e.Text), nil, e)
+	if calls, allowed := e.Figures["calls"], e.Figures["allowed"]; calls > history.SlowStartMost(allowed) {
+		c.broken(Cold, e.T, "", fmt.Sprintf("destination %d, back and cold, was pushed over: %s", e.Dest, e.Text), nil, e)
 	}
 }
 
--- a/internal/lab/rules/rules.go
+++ b/internal/lab/rules/rules.go
@@ -24,7 +24,7 @@
 	Attempts Rule = "attempts" // no message has more than its attempts
 	Wait     Rule = "wait"     // nothing goes to a destination while a wait lasts that it told
 	Drain    Rule = "drain"    // nothing new goes to an endpoint that drains, is gone or out by hand
-	Cold     Rule = "cold"     // no cold destination is pushed over by those who knew
+	Cold     Rule = "cold"     // no cold destination gets more calls than it may in slow start
 	Own      Rule = "own"      // a call has what a client handed in, unchanged, at an endpoint of its destination
 	Figures  Rule = "figures"  // /metrics tells the truth
 	Process  Rule = "process"  // no process ends unasked or goes over a limit
@@ -216,6 +216,8 @@
 		c.figures(e)
 	case history.Sample:
 		c.sample(e)
+	case history.Up:
+		c.looked(Cold)
 	case history.Fell:
 		c.fell(e)
 	case history.Stranger:
--- a/internal/lab/rules/rules_test.go
+++ b/internal/lab/rules/rules_test.go
@@ -70,9 +70,6 @@
 	use := func(mb float64) history.Event {
 		return history.Event{T: 100, Kind: history.Sample, Proc: "relay/0", Figures: map[string]float64{"memory_mb": mb}}
 	}
-	fell := func(knew float64) history.Event {
-		return history.Event{T: 100, Kind: history.Fell, Figures: map[string]float64{"knew:relay/0": knew, "new:relay/1": 10 - knew}}
-	}
 	strange := func(t int64, status int, state string) history.Event {
 		return history.Event{T: t, Kind: history.Stranger, Begun: 100, Left: 3000, Status: status, State: state}
 	}
@@ -137,8 +134,6 @@
 		"sent after a ban":               {Drain, []history.Event{ban(50, "disable", 200), hand(100, "m", "keyed"), sentAs(1200, 1, "m", "endpoint/0"), answer(1300, 1, 200)}},
 		"a ban that was refused":         {"", []history.Event{ban(50, "disable", 404), hand(100, "m", "keyed"), sentAs(1200, 1, "m", "endpoint/0"), answer(1300, 1, 200)}},
 		"sent after it is given back":    {"", []history.Event{ban(50, "disable", 200), ban(1000, "enable", 0), hand(100, "m", "keyed"), sentAs(1200, 1, "m", "endpoint/0"), answer(1300, 1, 200)}},
-		"pushed over by who knew":        {Cold, []history.Event{fell(7)}},
-		"pushed over by who did not":     {"", []history.Event{fell(6)}},
 		"held up until it is forgotten":  {"", []history.Event{{T: 9000, Kind: history.Call, Call: 1, IDs: []string{"m"}, Sums: []string{"s"}, Endpoint: "endpoint/0", Begun: 3900, Whole: 3900}}},
 		"of nobody":                      {Own, []history.Event{sentAs(200, 1, "m", "endpoint/0"), answer(210, 1, 200)}},
 		"a changed body":                 {Own, []history.Event{hand(100, "m", "keyed"), {T: 200, Kind: history.Call, Call: 1, IDs: []string{"m"}, Sums: []string{"x"}, Endpoint: "endpoint/0", Begun: 200, Whole: 200}}},
