lab: a request that was read is owed an answer, a message its end, whatever fails

The lost rule forgave what the terms no longer forgive: - a connection that ended with no answer was no fault at all: sent anew where the connection had served before, else handed in anew. Now the client looks in the kernel's socket tables whether the relay had read the whole request, or had closed in order after it; then the message counts as lost, also on a new connection, unless a SIGKILL came between. What is not shown to be read is sent anew once under its id, the first request of a connection as well; - a message handed in while its relay was stopped had as much more time. Its time counts from its last byte now; - after a pause every end had 1.5 s, as after a restart. Now 350 ms from when the relay goes on, and only for what fell due; - a relay that crashed owed nothing for ever. It owes all now; - with copies, any cut, delay or reset of links, each fault after one, and any end, stop or start of any relay or keeper gave all open messages a lease and 3 s more.

--- /dev/null
+++ b/internal/lab/flaws_test.go
@@ -0,0 +1,78 @@
+package lab
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+
+	"larchrouter/internal/lab/rules"
+	"larchrouter/internal/lab/standin"
+)
+
+// Guards against a rule that cannot be broken, and against one that an honest relay breaks: each flaw of a
+// stand-in must be caught by the rule that is meant for it.
+func TestFlawsAreCaught(t *testing.T) {
+	self, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	const base = "duration = \"3s\"\n[fleet]\nrelays = 2\nzones = [\"a\"]\n[platform]\ndestinations = 3\nlatency = \"30ms\"\ncold = \"2s\"\n[load]\nrate = 40.0\nclients = 3\ndeadline = \"2s\"\n"
+	drains := "[[step]]\nat = \"0s\"\ndo = \"drain\"\nto = \"endpoint/0\"\n"
+	fails := "[[fault]]\nat = \"0s\"\nfor = \"3s\"\nkind = \"errors\"\npart = 0.5\nfrom = \"endpoints:dest=0\"\n"
+	shut := "[[fault]]\nat = \"500ms\"\nfor = \"2s\"\nkind = \"shut\"\nfrom = \"endpoints:dest=0\"\n"
+	const busy, once, strangers = "rate = 150.0\n", "classes = [\"once\"]", "strangers = 30.0"
+	for _, c := range []struct {
+		flaw standin.Flaw
+		more string
+		rule rules.Rule
+	}{
+		{standin.None, drains + fails + shut, ""},
+		{standin.None, strangers, ""},
+		{standin.Patient, strangers, rules.Strange},
+		{standin.Welcomes, strangers, rules.Strange},
+		{standin.Late, fails + once, rules.Repeat},
+		{standin.Twice, "", rules.Twice},
+		{standin.Late, fails, rules.Repeat},
+		{standin.Waits, shut, rules.Wait},
+		{standin.Drains, "duration = \"9s\"\n" + drains, rules.Drain},
+		{standin.Bans, "[[step]]\nat = \"500ms\"\ndo = \"ban\"\nto = \"endpoint/0\"\n", rules.Drain},
+		{standin.Forgets, "", rules.End},
+		{standin.HangsUp, "", rules.End},
+		{standin.Tardy, "[[fault]]\nat = \"0s\"\nfor = \"3s\"\nkind = \"outage\"\nfrom = \"discovery\"\n" + strings.Replace(fails, "0.5", "1.0", 1), rules.End},
+		{standin.Tardy, "[[fault]]\nat = \"200ms\"\nfor = \"3s\"\nkind = \"cut\"\nfrom = \"relays\"\nto = \"endpoints:dest=0\"\nboth = true\n", rules.End},
+		{standin.None, busy + "[[fault]]\nat = \"500ms\"\nfor = \"1500ms\"\nkind = \"outage\"\nfrom = \"endpoints:dest=0\"\n", rules.Cold}, // it has no slow start
+		{standin.TwoEnds, "", rules.Once},
+		{standin.Lies, "", rules.Figures},
+		{standin.Changes, "", rules.Own},
+		{standin.Strays, "", rules.Own},
+		{standin.Invented, "", rules.Own},
+		{standin.Endless, strings.Replace(fails, "0.5", "1.0", 1), rules.Attempts},
+		{standin.Dies, "", rules.Process},
+		{standin.None, "[[fault]]\nat = \"1s\"\nkind = \"kill\"\nfrom = \"relays\"\n", rules.End}, // it has no journal
+	} {
+		t.Run(fmt.Sprintf("%s,%s", c.flaw, c.rule), func(t *testing.T) {
+			t.Parallel()
+			text := base + c.more
+			if more, ok := strings.CutPrefix(c.more, "duration = \"9s\"\n"); ok {
+				text = strings.Replace(base, "3s", "9s", 1) + more
+			}
+			if more, ok := strings.CutPrefix(c.more, busy); ok {
+				text = strings.NewReplacer("rate = 40.0\n", busy, "destinations = 3", "destinations = 1\nlimit = 0.0").Replace(base) + more
+			}
+			if c.more == strangers {
+				text = base + c.more // of load, the last table
+			} else if more, ok := strings.CutSuffix(c.more, once); ok {
+				text = base + once + "\n" + more
+			}
+			r := play(t, parse(t, text), Options{Root: t.TempDir(), Command: "exec " + self, Env: []string{standin.Env + "=" + string(c.flaw)}})
+			if c.rule != "" && r.Report.Broken[c.rule] == 0 || c.rule == "" && len(r.Failures) > 0 {
+				tell(t, r)
+				t.Errorf("rule %q: broken %d times", c.rule, r.Report.Broken[c.rule])
+			}
+			if c.rule == "" && r.Report.Served == 0 {
+				t.Error("nothing was served")
+			}
+		})
+	}
+}
--- a/internal/lab/history/history.go
+++ b/internal/lab/history/history.go
@@ -35,7 +35,7 @@
 	Run     Kind = "run"     // the first event: Terms, Text is the scenario's name
 	Hand    Kind = "hand"    // a client's request is on its way: ID, First, Class, Tenant, Dest, Key, Left, Sum
 	Heard   Kind = "heard"   // its answer came: ID, Status, Wait
-	Left    Kind = "left"    // the client stopped waiting, or its connection ended: ID, How
+	Left    Kind = "left"    // the client stopped waiting, or its connection ended: ID, How (Unanswered for one that was read)
 	Call    Kind = "call"    // a call is whole at an endpoint: Call, IDs, Endpoint, Dest, Begun and Whole (front)
 	Bad     Kind = "bad"     // an endpoint was sent what no relay may send: Endpoint, Text
 	Ran     Kind = "ran"     // a call took effect: Call
@@ -66,6 +66,9 @@
 // Lossy is the State of a fault under which a process may write what nobody gets to see.
 const Lossy = "lossy"
 
+// Unanswered is the How of a client's leaving whose request the relay had surely read when it ended the connection.
+const Unanswered = "read and closed with no answer"
+
 // Unreadable is the How of an answer that is none under the protocol. Its Status is 0, or 200 where the first line of an
 // answer to one message still says so: then it is true.
 const Unreadable = "unreadable"
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -3,18 +3,12 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strings"
-	"syscall"
 	"testing"
-	"time"
 
 	"larchrouter/internal/lab/history"
-	"larchrouter/internal/lab/link"
-	"larchrouter/internal/lab/platform"
 	"larchrouter/internal/lab/rules"
 	"larchrouter/internal/lab/scenario"
 	"larchrouter/internal/lab/standin"
@@ -73,66 +67,6 @@
 	}
 }
 
-// Guards against a rule that cannot be broken, and against one that an honest relay breaks: each flaw of a
-// stand-in must be caught by the rule that is meant for it.
-func TestFlawsAreCaught(t *testing.T) {
-	self, err := os.Executable()
-	if err != nil {
-		t.Fatal(err)
-	}
-	const base = "duration = \"3s\"\n[fleet]\nrelays = 2\nzones = [\"a\"]\n[platform]\ndestinations = 3\nlatency = \"30ms\"\ncold = \"2s\"\n[load]\nrate = 40.0\nclients = 3\ndeadline = \"2s\"\n"
-	drains := "[[step]]\nat = \"0s\"\ndo = \"drain\"\nto = \"endpoint/0\"\n"
-	fails := "[[fault]]\nat = \"0s\"\nfor = \"3s\"\nkind = \"errors\"\npart = 0.5\nfrom = \"endpoints:dest=0\"\n"
-	shut := "[[fault]]\nat = \"500ms\"\nfor = \"2s\"\nkind = \"shut\"\nfrom = \"endpoints:dest=0\"\n"
-	const once, strangers = "classes = [\"once\"]", "strangers = 30.0"
-	for _, c := range []struct {
-		flaw standin.Flaw
-		more string
-		rule rules.Rule
-	}{
-		{standin.None, drains + fails + shut, ""},
-		{standin.None, strangers, ""},
-		{standin.Patient, strangers, rules.Strange},
-		{standin.Welcomes, strangers, rules.Strange},
-		{standin.Late, fails + once, rules.Repeat},
-		{standin.Twice, "", rules.Twice},
-		{standin.Late, fails, rules.Repeat},
-		{standin.Waits, shut, rules.Wait},
-		{standin.Drains, "duration = \"9s\"\n" + drains, rules.Drain},
-		{standin.Bans, "[[step]]\nat = \"500ms\"\ndo = \"ban\"\nto = \"endpoint/0\"\n", rules.Drain},
-		{standin.Forgets, "", rules.End},
-		{standin.TwoEnds, "", rules.Once},
-		{standin.Lies, "", rules.Figures},
-		{standin.Changes, "", rules.Own},
-		{standin.Strays, "", rules.Own},
-		{standin.Invented, "", rules.Own},
-		{standin.Endless, strings.Replace(fails, "0.5", "1.0", 1), rules.Attempts},
-		{standin.Dies, "", rules.Process},
-		{standin.None, "[[fault]]\nat = \"1s\"\nkind = \"kill\"\nfrom = \"relays\"\n", rules.End}, // it has no journal
-	} {
-		t.Run(fmt.Sprintf("%s,%s", c.flaw, c.rule), func(t *testing.T) {
-			t.Parallel()
-			text := base + c.more
-			if more, ok := strings.CutPrefix(c.more, "duration = \"9s\"\n"); ok {
-				text = strings.Replace(base, "3s", "9s", 1) + more
-			}
-			if c.more == strangers {
-				text = base + c.more // of load, the last table
-			} else if more, ok := strings.CutSuffix(c.more, once); ok {
-				text = base + once + "\n" + more
-			}
-			r := play(t, parse(t, text), Options{Root: t.TempDir(), Command: "exec " + self, Env: []string{standin.Env + "=" + string(c.flaw)}})
-			if c.rule != "" && r.Report.Broken[c.rule] == 0 || c.rule == "" && len(r.Failures) > 0 {
-				tell(t, r)
-				t.Errorf("rule %q: broken %d times", c.rule, r.Report.Broken[c.rule])
-			}
-			if c.rule == "" && r.Report.Served == 0 {
-				t.Error("nothing was served")
-			}
-		})
-	}
-}
-
 // relays builds the relay once, and says how it is started.
 func relays(t *testing.T) Options {
 	t.Helper()
@@ -304,98 +238,3 @@
 		t.Errorf("serving did not go on: %s", r.Report)
 	}
 }
-
-// Guards against a lab that blames a relay, or waits for ever, where a process does not start.
-func TestProcessesThatDoNotStart(t *testing.T) {
-	s := parse(t, "duration = \"1s\"\n[fleet]\nrelays = 2")
-	for command, want := range map[string]string{
-		"echo no such thing >&2; exit 7": "no such thing",
-		"exec /nowhere/at/all":           "ended before it could serve",
-	} {
-		begin := time.Now()
-		_, err := Run(context.Background(), s, Options{Root: t.TempDir(), Folder: t.TempDir(), Command: command})
-		if err == nil || !strings.Contains(err.Error(), want) {
-			t.Errorf("%s: %v, want %q", command, err, want)
-		}
-		if time.Since(begin) > readyIn {
-			t.Errorf("%s: it took %v to see that it had ended", command, time.Since(begin))
-		}
-	}
-}
-
-// Guards against processes and folders that outlast a run which is interrupted.
-func TestInterrupted(t *testing.T) {
-	self, err := os.Executable()
-	if err != nil {
-		t.Fatal(err)
-	}
-	ctx, cancel := context.WithCancel(context.Background())
-	var pids []int
-	dir := t.TempDir()
-	o := Options{Root: t.TempDir(), Folder: dir, Command: "echo $$ >> pids; exec " + self, Env: []string{standin.Env + "="},
-		Each: func(Progress) { cancel() }}
-	if _, err := Run(ctx, parse(t, "duration = \"1h\"\n[fleet]\nrelays = 2"), o); err != nil {
-		t.Fatal(err)
-	}
-	data, err := os.ReadFile(filepath.Join(o.Root, "pids"))
-	if err != nil {
-		t.Fatal(err)
-	}
-	for _, word := range strings.Fields(string(data)) {
-		var pid int
-		fmt.Sscan(word, &pid)
-		pids = append(pids, pid)
-		if syscall.Kill(pid, 0) == nil {
-			t.Errorf("process %d outlasts the run", pid)
-		}
-	}
-	if len(pids) != 2 {
-		t.Errorf("%d processes were started, want 2", len(pids))
-	}
-	if left, _ := filepath.Glob(filepath.Join(dir, "*")); len(left) > 0 {
-		t.Errorf("%v outlast the run", left)
-	}
-}
-
-// Guards against relays that are blamed for a machine on which the lab itself comes too late.
-func TestTooBusyIsVoid(t *testing.T) {
-	for _, c := range []struct {
-		late Lateness
-		void bool
-	}{{Lateness{1, 49, 300}, false}, {Lateness{1, 51, 300}, true}} {
-		s := scenario.Default()
-		w := &world{scenario: s, checker: rules.New(), net: link.NewNet(history.NewClock()), clients: platform.NewClients(platform.Env{Scenario: s}, platform.NewFront())}
-		if r := w.result(c.late); (r.Void != "") != c.void {
-			t.Errorf("%+v: void is %q", c.late, r.Void)
-		}
-	}
-}
-
-// Guards against a relay that takes a port which another program has, and two runs that share addresses.
-func TestAddresses(t *testing.T) {
-	a, err := takeBlock()
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer a.lock.Close()
-	b, err := takeBlock()
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer b.lock.Close()
-	if a.prefix == b.prefix || a.relayIP(0) == a.relayIP(250) || a.relayIP(0) == a.clientIP(0) {
-		t.Errorf("%s and %s, %s, %s, %s", a.prefix, b.prefix, a.relayIP(0), a.relayIP(250), a.clientIP(0))
-	}
-	first, err := freeAddr(a.relayIP(0), clientPort)
-	if err != nil {
-		t.Fatal(err)
-	}
-	l, err := net.Listen("tcp4", first)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	if second, err := freeAddr(a.relayIP(0), clientPort); err != nil || second == first {
-		t.Errorf("%s, %v while somebody listens at %s", second, err, first)
-	}
-}
--- a/internal/lab/link/conn.go
+++ b/internal/lab/link/conn.go
@@ -16,7 +16,7 @@
 	if dialled { // the process is at the far end: what it sends is the way back
 		c.in, c.out = c.out, c.in
 	}
-	c.in.onReset, c.out.onReset = c.Abort, c.Abort
+	c.in.onReset, c.out.onReset = c.breakOff, c.breakOff
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.over {
@@ -42,6 +42,9 @@
 	gone   chan struct{}
 	goneAt atomic.Int64
 	shut   atomic.Bool
+	broken atomic.Bool // by the lab or one of its faults
+	// sent is how many bytes have been sent on their way to the front, written how many of them have been written there.
+	sent, written atomic.Uint64
 }
 
 // Peer is the name of the process at the front.
@@ -77,6 +80,7 @@
 
 // Send sends bytes on their way, and tells when the last of them was written at the front, or that it never was.
 func (c *Conn) Send(p []byte, after func(at int64, ok bool)) error {
+	c.sent.Add(uint64(len(p)))
 	return c.out.push(chunk{data: append([]byte(nil), p...), came: c.link.net.Clock.Now(), after: after})
 }
 
@@ -109,6 +113,15 @@
 	c.leave()
 }
 
+// breakOff resets the connection as a fault of the network does.
+func (c *Conn) breakOff() {
+	c.broken.Store(true)
+	c.Abort()
+}
+
+// Broken tells whether the network broke the connection, and not the process at the front.
+func (c *Conn) Broken() bool { return c.broken.Load() }
+
 // Gone is closed once the process at the front has ended its sending, whether the other end has heard or not.
 func (c *Conn) Gone() <-chan struct{} { return c.gone }
 
@@ -172,7 +185,10 @@
 		}
 		// Stamped before it is written: the process may read it, and close, before this goes on.
 		at := c.link.net.Clock.Now()
-		_, err = to.Write(got.data)
+		n, err := to.Write(got.data)
+		if to == c.sock {
+			c.written.Add(uint64(n))
+		}
 		if got.after != nil {
 			got.after(at, err == nil)
 		}
--- a/internal/lab/link/link.go
+++ b/internal/lab/link/link.go
@@ -46,6 +46,7 @@
 	links map[[2]string]*Link
 	// fronts serve more than one link.
 	fronts []*net.TCPListener
+	diag   diag
 	// trouble is why the network itself did not do as it should, the first time; nil for never.
 	trouble error
 }
@@ -125,6 +126,7 @@
 	for _, l := range n.Links(func(string) bool { return true }, func(string) bool { return true }) {
 		l.close()
 	}
+	n.diag.close()
 }
 
 // Dial opens a connection from a party of the lab, at an address of its own, to a process.
@@ -161,7 +163,7 @@
 	all := slices.Collect(maps.Keys(l.conns))
 	l.mu.Unlock()
 	for _, c := range all {
-		c.Abort()
+		c.breakOff()
 	}
 }
 
--- a/internal/lab/platform/clients.go
+++ b/internal/lab/platform/clients.go
@@ -1,66 +1,17 @@
 package platform
 
 import (
-	"bufio"
-	"bytes"
 	"context"
 	"encoding/base64"
 	"fmt"
-	"io"
 	"math/rand/v2"
-	"net/http"
-	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"larchrouter/internal/lab/history"
-	"larchrouter/internal/lab/link"
 )
 
-// Front knows which relays clients may be dealt to.
-type Front struct {
-	mu     sync.Mutex
-	addrs  map[string]string
-	order  []string
-	usable map[string]bool
-	turn   int
-}
-
-// NewFront deals connections out to relays in turn.
-func NewFront() *Front { return &Front{addrs: map[string]string{}, usable: map[string]bool{}} }
-
-// Add names a relay and its address.
-func (f *Front) Add(relay, addr string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.addrs[relay] == "" {
-		f.order = append(f.order, relay)
-	}
-	f.addrs[relay] = addr
-}
-
-// Use says whether a relay gets clients.
-func (f *Front) Use(relay string, use bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.usable[relay] = use
-}
-
-// next is the relay whose turn it is.
-func (f *Front) next() (relay, addr string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for range f.order {
-		f.turn++
-		if r := f.order[f.turn%len(f.order)]; f.usable[r] {
-			return r, f.addrs[r]
-		}
-	}
-	return "", ""
-}
-
 // Clients are the mills' programs.
 type Clients struct {
 	Env
@@ -88,17 +39,12 @@
 	early      bool
 }
 
-type clientConn struct {
-	*link.Conn
-	in   *bufio.Reader
-	used bool
-}
-
 // The times of a client.
 const (
-	patience  = 400 * time.Millisecond
-	idleMost  = 4
-	handsMost = 4 // ids for one message, whatever becomes of them
+	patience   = 400 * time.Millisecond
+	earlyAfter = 2 * time.Millisecond
+	idleMost   = 4
+	handsMost  = 4 // ids for one message, whatever becomes of them
 )
 
 // NewClients returns clients that hand nothing in yet.
@@ -220,7 +166,7 @@
 			c.mu.Lock()
 			delete(c.open, id)
 			c.mu.Unlock()
-			if how == "early" {
+			if how == leftEarly {
 				return
 			}
 			mark = "again"
@@ -271,172 +217,3 @@
 		}
 	}()
 }
-
-// try hands a message in once. Status 0 is no answer.
-func (c *Clients) try(m *message, id, relay, addr, mark string, left time.Duration) (status int, after time.Duration, how string) {
-	var head strings.Builder
-	fmt.Fprintf(&head, "POST /api HTTP/1.1\r\nHost: api.internal\r\nX-Request-Id: %s\r\nX-Class: %s\r\nX-Tenant: %s\r\nX-Deadline-Ms: %d\r\n"+
-		"Content-Length: %d\r\nX-Addressing: dest=%d\r\n", id, m.class.Name, m.tenant, left.Milliseconds(), len(m.body), m.dest)
-	if m.key != "" {
-		fmt.Fprintf(&head, "Idempotency-Key: %s\r\n", m.key)
-	}
-	if mark != "" {
-		fmt.Fprintf(&head, "X-Retry: %s\r\n", mark)
-	}
-	request := append([]byte(head.String()+"\r\n"), m.body...)
-	key := fmt.Sprint(m.client, " ", relay)
-	begin := time.Now()
-	end := begin.Add(patience)
-	if m.early {
-		end = begin.Add(2 * time.Millisecond)
-	}
-	for fresh := false; ; fresh = true {
-		conn, err := c.connect(m.client, key, relay, addr, end, fresh)
-		if err != nil {
-			return 0, 0, "no connection"
-		}
-		conn.SetReadDeadline(end)
-		conn.Write(request)
-		resp, err := http.ReadResponse(conn.in, nil)
-		if err == nil {
-			_, err = io.Copy(io.Discard, resp.Body)
-		}
-		if err != nil {
-			late := !time.Now().Before(end)
-			conn.Abort()
-			switch {
-			case late && m.early:
-				return 0, 0, "early"
-			case late:
-				return 0, 0, "no answer in time"
-			case conn.used && !fresh: // it was closed as the request crossed it
-				continue
-			}
-			return 0, 0, "connection ended"
-		}
-		heard := c.Clock.Now()
-		conn.SetReadDeadline(time.Time{})
-		s, _ := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
-		after = time.Duration(s * float64(time.Second))
-		c.Record(history.Event{T: heard, Kind: history.Heard, Relay: relay, ID: id, Status: resp.StatusCode, Wait: after.Milliseconds()})
-		conn.used = true
-		if resp.Close {
-			conn.Close()
-		} else {
-			c.keep(key, conn)
-		}
-		return resp.StatusCode, after, ""
-	}
-}
-
-// connect takes a kept connection, or opens one.
-func (c *Clients) connect(client int, key, relay, addr string, end time.Time, fresh bool) (*clientConn, error) {
-	for !fresh {
-		c.mu.Lock()
-		kept := c.idle[key]
-		if len(kept) == 0 {
-			c.mu.Unlock()
-			break
-		}
-		conn := kept[len(kept)-1]
-		c.idle[key] = kept[:len(kept)-1]
-		c.mu.Unlock()
-		select {
-		case <-conn.Gone():
-			conn.Abort()
-			continue
-		default:
-		}
-		return conn, nil
-	}
-	ctx, cancel := context.WithDeadline(context.Background(), end)
-	defer cancel()
-	source := ""
-	if c.ClientIP != nil {
-		source = c.ClientIP(client)
-	}
-	conn, err := c.Net.Dial(ctx, fmt.Sprintf("client/%d", client), relay, source, addr)
-	if err != nil {
-		return nil, err
-	}
-	return &clientConn{Conn: conn, in: bufio.NewReader(conn)}, nil
-}
-
-func (c *Clients) keep(key string, conn *clientConn) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if len(c.idle[key]) >= idleMost {
-		conn.Close()
-		return
-	}
-	c.idle[key] = append(c.idle[key], conn)
-}
-
-// Close ends the connections that are kept.
-func (c *Clients) Close() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, kept := range c.idle {
-		for _, conn := range kept {
-			conn.Abort()
-		}
-	}
-	c.idle = map[string][]*clientConn{}
-}
-
-// Figures reads a relay's figures at its second address.
-func Figures(ctx context.Context, addr string) (map[string]float64, error) {
-	status, body, err := operate(ctx, "GET", addr, "/metrics")
-	if err != nil {
-		return nil, err
-	}
-	if status != http.StatusOK {
-		return nil, fmt.Errorf("/metrics: status %d", status)
-	}
-	figures := map[string]float64{}
-	for line := range bytes.Lines(body) {
-		name, value, ok := strings.Cut(strings.TrimSpace(string(line)), "=")
-		if !ok {
-			continue
-		}
-		v, err := strconv.ParseFloat(value, 64)
-		if err != nil {
-			return nil, fmt.Errorf("/metrics: %q", line)
-		}
-		figures[name] = v
-	}
-	return figures, nil
-}
-
-// Ready tells whether a relay's second address says that it can serve.
-func Ready(ctx context.Context, addr string) bool {
-	status, _, err := operate(ctx, "GET", addr, "/ready")
-	return err == nil && status/100 == 2
-}
-
-// ByHand takes an endpoint out at a relay, or gives it back.
-func ByHand(ctx context.Context, addr, endpoint string, out bool) (status int, err error) {
-	what := "enable"
-	if out {
-		what = "disable"
-	}
-	status, _, err = operate(ctx, "PUT", addr, "/endpoints/"+what+"/"+ID(endpoint))
-	return status, err
-}
-
-// operators make one call on a connection.
-var operators = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
-
-func operate(ctx context.Context, method, addr, path string) (int, []byte, error) {
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+addr+path, nil)
-	if err != nil {
-		return 0, nil, err
-	}
-	resp, err := operators.Do(req)
-	if err != nil {
-		return 0, nil, err
-	}
-	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, 1<<20))
-	return resp.StatusCode, body, err
-}
--- a/internal/lab/rules/estates.go
+++ b/internal/lab/rules/estates.go
@@ -31,16 +31,15 @@
 // takeOver is how long it may take, in microseconds; 0 where nobody takes over.
 func (c *Checker) takeOver() int64 { return c.terms.TakeOver.Microseconds() }
 
-// troubled notes that something began or ended that may have a message's relay be another: the ends that are not overdue
-// yet may come as much later as that takes.
-func (c *Checker) troubled(at int64) {
-	c.trouble = at
+// delayOrphans notes that a relay ended, stopped or went on, which may be the one that takes up a lost machine's messages: their
+// ends that are not overdue yet may come as much later as that takes. No other message has more time for it.
+func (c *Checker) delayOrphans(at int64) {
 	over := c.takeOver()
 	if over == 0 {
 		return
 	}
 	for _, m := range c.msgs {
-		if m.delivered == 0 && m.notice.T == 0 && at <= max(m.due+m.unread+endSlack, m.allowed) {
+		if m.orphan && m.delivered == 0 && m.notice.T == 0 && at <= max(m.due+endSlack, m.allowed) {
 			m.allowed = max(m.allowed, at+over)
 		}
 	}
@@ -64,7 +63,11 @@
 
 // lost notes that a machine has gone, with what it had.
 func (c *Checker) lost(e history.Event, p *process) {
-	p.down, p.lost = e.T, true
+	p.down, p.lost, p.killed = e.T, true, e.T
+	for _, m := range c.msgs {
+		m.orphan = m.orphan || m.Relay == e.Proc
+	}
+	c.delayOrphans(e.T)
 	c.report.TakenOver = append(c.report.TakenOver, TakenOver{Relay: e.Proc, At: float64(e.T) / 1e6, After: -1, at: e.T, left: p.estates})
 	p.estates = nil
 }
--- a/internal/lab/rules/estates_test.go
+++ b/internal/lab/rules/estates_test.go
@@ -58,3 +58,39 @@
 		}
 	}
 }
+
+// Guards against ends that have more time because something else failed: a relay that still has its machine has no heir to wait for.
+func TestOnlyALostMachineGivesMoreTime(t *testing.T) {
+	at := int64(15e5)
+	for name, trouble := range map[string]history.Event{
+		"links are cut":           {T: at, Kind: history.Fault, How: "begin", Text: "cut relay/0 to keepers", State: history.Lossy},
+		"a keeper is killed":      {T: at, Kind: history.Proc, Proc: "keeper/0", How: "kill"},
+		"a keeper leads anew":     {T: at, Kind: history.Proc, Proc: "keeper/0", How: "ready"},
+		"another relay is killed": {T: at, Kind: history.Proc, Proc: "relay/1", How: "kill"},
+		"another relay is lost":   {T: at, Kind: history.Proc, Proc: "relay/1", How: "lose", Text: "for good"},
+		"another relay stands":    {T: at, Kind: history.Proc, Proc: "relay/1", How: "stop"},
+	} {
+		for _, end := range []struct {
+			at     int64
+			broken int
+		}{{2540e3, 0}, {2560e3, 1}} { // its time is up at 2.2 s
+			c := New()
+			c.See(history.Event{Kind: history.Run, Terms: &history.Terms{MaxAttempts: 8, TakeOver: 4 * time.Second, DrainGrace: time.Second, AskWithin: time.Minute,
+				Classes: []history.Class{{Name: "k", Effect: "deduplicated", Window: 15 * time.Second, Aim: time.Second, Deadline: 2 * time.Second, Worth: 1}}}})
+			for _, p := range []string{"relay/0", "relay/1"} {
+				c.See(history.Event{Kind: history.Proc, Proc: p, How: "start"})
+				c.See(history.Event{Kind: history.Proc, Proc: p, How: "ready"})
+			}
+			for _, e := range []history.Event{
+				{T: 2e5, Kind: history.Hand, Relay: "relay/0", ID: "m", First: "m", Class: "k", Left: 2000},
+				{T: 21e4, Kind: history.Heard, Relay: "relay/0", ID: "m", Status: 202}, trouble,
+				{T: end.at, Kind: history.Notice, Relay: "relay/0", ID: "m", How: "deferred"}, {T: 60e6, Kind: history.End},
+			} {
+				c.See(e)
+			}
+			if r := c.Close(); r.Broken[End] != end.broken {
+				t.Errorf("%s, and its end comes at %.2f s: %d ends are broken, want %d", name, float64(end.at)/1e6, r.Broken[End], end.broken)
+			}
+		}
+	}
+}
--- a/internal/lab/rules/messages.go
+++ b/internal/lab/rules/messages.go
@@ -49,6 +49,29 @@
 	}
 }
 
+// hungUp takes in that a client has stopped waiting, or that its connection ended. A request that the relay had read is
+// owed an answer, on a new connection as well as on a kept one; only a process that is killed cannot give it.
+func (c *Checker) hungUp(e history.Event) {
+	m := c.msgs[e.ID]
+	if m == nil {
+		return
+	}
+	m.left, m.lines = true, append(m.lines, e)
+	p := c.proc(e.Relay)
+	for _, name := range []string{"refused", "failed"} { // the relay may count it, though nobody hears its answer
+		p.counts[name].may.add(e.T)
+	}
+	if e.How != history.Unanswered {
+		return
+	}
+	c.looked(End)
+	if p.killed > 0 && p.killed >= m.T {
+		return
+	}
+	c.broken(End, e.T, m.ID, "its request was read, and its connection closed with no answer", []string{e.Relay}, m.lines...)
+	c.report.Lost++
+}
+
 // handedBack looks whether a message may be handed in again, as its client was told.
 func (c *Checker) handedBack(m *msg, e history.Event) {
 	c.looked(Repeat)
@@ -121,16 +144,11 @@
 		c.forget(m)
 		return
 	}
-	// What is in a relay that restarts is not overdue until some time after it serves again.
-	if p.down > 0 && !(p.lost && c.now > p.down+c.takeOver()) {
+	if c.excused(p) {
 		c.later(c.now+500*ms, func() { c.overdue(m) })
 		return
 	}
-	allowed := m.due + m.unread + endSlack
-	if p.ready > m.taken {
-		allowed = max(allowed, p.ready+restart+slack)
-	}
-	allowed = max(allowed, m.allowed)
+	allowed := m.allowedUntil(p)
 	if c.now < allowed {
 		c.later(allowed, func() { c.overdue(m) })
 		return
@@ -150,5 +168,31 @@
 	c.forget(m)
 }
 
+// excused tells whether a relay cannot end anything now, by the terms: it restarts, its machine is lost and not taken over
+// yet, or the lab has stopped it. One that crashed is not excused.
+func (c *Checker) excused(p *process) bool {
+	switch {
+	case p.down == 0 || p.crashed:
+		return false
+	case p.lost:
+		return c.now <= p.down+c.takeOver()
+	}
+	return true
+}
+
+// allowedUntil is by when a message must have its end: in its time and the slack. Besides, no end is overdue until some time
+// after a restart of its relay, nor before a lost machine's messages can be taken over. A relay that the lab had stopped has
+// the slack once it goes on, and no more.
+func (m *msg) allowedUntil(p *process) int64 {
+	allowed := max(m.due+endSlack, m.allowed)
+	if p.ready > m.taken {
+		allowed = max(allowed, p.ready+restart+slack)
+	}
+	if p.continued > m.taken {
+		allowed = max(allowed, p.continued+endSlack)
+	}
+	return allowed
+}
+
 // forget drops a message some time after it is over: until then it may yet be sent where it must not be.
 func (c *Checker) forget(m *msg) { c.later(c.now+keepFor, func() { delete(c.msgs, m.ID) }) }
--- a/internal/lab/rules/processes.go
+++ b/internal/lab/rules/processes.go
@@ -32,17 +32,20 @@
 
 func (c *Checker) process(e history.Event) {
 	if e.How != "start" && e.How != "exit" { // a keeper's, too: who leads anew waits for a lease
-		c.troubled(e.T)
+		c.trouble = e.T
 	}
 	if !strings.HasPrefix(e.Proc, "relay/") {
 		return
 	}
 	p := c.proc(e.Proc)
 	c.looked(Process)
+	if e.How != "start" && e.How != "exit" {
+		c.delayOrphans(e.T)
+	}
 	switch e.How {
 	case "start":
 		p.starts++
-		p.lost = false
+		p.lost, p.crashed = false, false
 		if e.Text != "beside" {
 			p.waits = map[int][]span{} // a restart ends them
 		}
@@ -51,13 +54,6 @@
 		if p.starts > 1 || e.How == "cont" {
 			p.resumed = e.T
 		}
-		if e.How == "cont" && p.down > 0 {
-			for _, m := range c.msgs {
-				if m.Relay == e.Proc && m.taken == 0 && m.T <= e.T {
-					m.unread = e.T - max(m.T, p.down)
-				}
-			}
-		}
 		for _, told := range []map[string]int64{p.told, p.banned} {
 			for name, at := range told { // one that is stopped hears nothing until it goes on
 				if p.down > 0 && at >= p.down {
@@ -65,17 +61,25 @@
 				}
 			}
 		}
-		p.down, p.ready = 0, e.T
+		p.down = 0
+		if e.How == "cont" {
+			p.continued = e.T
+		} else {
+			p.ready = e.T
+		}
 	case "stop":
 		p.down = e.T
 	case "term", "kill":
+		if e.How == "kill" {
+			p.killed = e.T
+		}
 		if e.Text != "handed over" {
 			p.down = e.T
 		}
 	case "lose":
 		c.lost(e, p)
 	case "crash":
-		p.down = e.T
+		p.down, p.crashed = e.T, true
 		c.broken(Process, e.T, "", cmp.Or(e.Text, "it ended unasked"), []string{e.Proc}, e)
 	}
 }
--- a/internal/lab/rules/rules.go
+++ b/internal/lab/rules/rules.go
@@ -17,7 +17,7 @@
 
 // The rules. Each says what must hold; times have the slack of the protocol's page.
 const (
-	End      Rule = "end"      // a message that was taken on has one end, in time
+	End      Rule = "end"      // a request that was read has its answer, a message that was taken on one end, in time
 	Once     Rule = "once"     // and only one
 	Twice    Rule = "twice"    // never two attempts of a message out at once
 	Repeat   Rule = "repeat"   // what may have run is repeated, or handed back, only as its class allows
@@ -168,12 +168,7 @@
 	case history.Heard:
 		c.heard(e)
 	case history.Left:
-		if m := c.msgs[e.ID]; m != nil {
-			m.left, m.lines = true, append(m.lines, e)
-			for _, name := range []string{"refused", "failed"} { // the relay may count it, though nobody hears its answer
-				c.proc(e.Relay).counts[name].may.add(e.T)
-			}
-		}
+		c.hungUp(e)
 	case history.Call:
 		c.call(e)
 	case history.Answer, history.Gone:
@@ -203,7 +198,7 @@
 	case history.Fault:
 		c.lossy = c.lossy || e.State == history.Lossy
 		if c.lossy {
-			c.troubled(e.T)
+			c.trouble = e.T
 		}
 	case history.Limit:
 		c.report.limit(e.Dest, e.T, e.Figures["rate"])
--- a/internal/lab/rules/seen.go
+++ b/internal/lab/rules/seen.go
@@ -13,8 +13,8 @@
 	history.Event // Hand
 	class         *history.Class
 	due           int64
-	unread        int64 // how long it lay at a relay that was stopped: that cannot know of it
-	allowed       int64 // by when its end is due at the latest, where its relay may have become another
+	orphan        bool  // its relay's machine was lost, so another one has to end it
+	allowed       int64 // by when its end is due at the latest, if it is one
 	taken         int64 // its client heard 200 or 202; 0 if not
 	refused       bool  // its client heard so
 	left          bool  // its client did not wait
@@ -78,18 +78,22 @@
 	lost    bool            // its machine has gone with its disk
 	estates map[string]bool // that it has, by the names of their figures
 	down    int64           // since when it is to end or has ended; 0 while it runs
+	crashed bool            // it is down and nobody asked for that
+	killed  int64           // when it was last ended by SIGKILL; 0 for never
 	ready   int64           // since when the process of now can serve
 	resumed int64           // when it last went on after a restart or a pause; 0 for never
-	starts  int
-	asked   int64 // last call for the list
-	open    int   // calls for the list without answer
-	failed  bool
-	told    map[string]int64 // when it was told that an endpoint drains or is gone
-	banned  map[string]int64
-	waits   map[int][]span
-	version int64
-	counts  map[string]*counter // figures of a process that has run from the start
-	lastUse history.Event
+	// continued is when it last went on after a pause; 0 for never.
+	continued int64
+	starts    int
+	asked     int64 // last call for the list
+	open      int   // calls for the list without answer
+	failed    bool
+	told      map[string]int64 // when it was told that an endpoint drains or is gone
+	banned    map[string]int64
+	waits     map[int][]span
+	version   int64
+	counts    map[string]*counter // figures of a process that has run from the start
+	lastUse   history.Event
 }
 
 type span struct{ from, until int64 }
