lab: relays that share few cores, silent and slow notices, pipelined and half-closed requests

The lost message was reported from real processes side by side on real cores, which no scenario played.

--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -9,7 +9,6 @@
 	"math/rand/v2"
 	"os"
 	"sync"
-	"syscall"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -44,6 +43,8 @@
 	accepted  []uint64       // generations that they were told to be accepted
 	steps     int
 	shared    map[string]string // the address of each endpoint, where it has one for all relays
+	// relayCores are those that all relays share; nil for any.
+	relayCores proc.Cores
 
 	mu      sync.Mutex
 	checker *rules.Checker
@@ -80,7 +81,12 @@
 		return nil, err
 	}
 	raiseLimits()
-	w := &world{scenario: s, options: o, draw: platform.NewDraw(s), clock: history.NewClock(), front: platform.NewFront(),
+	relayCores, giveBack, err := divideCores(s.Fleet.SharedCores)
+	if err != nil {
+		return nil, err
+	}
+	defer giveBack()
+	w := &world{relayCores: relayCores, scenario: s, options: o, draw: platform.NewDraw(s), clock: history.NewClock(), front: platform.NewFront(),
 		checker: rules.New(), on: map[string]int{}, rand: rand.New(rand.NewPCG(s.Seed, 0x4d))}
 	if o.Draw != nil {
 		w.draw = o.Draw
@@ -158,33 +164,6 @@
 	return nil, nil
 }
 
-// folderIn is where a run's folder is made. Files of the memory's own file system outlast a process as the platform's
-// do. On a disk, a file that is renamed over another is flushed: with 90 relays that started at once, each with its
-// configuration and journal, that held starts up for 3 to 10 s.
-func folderIn(dir string) string {
-	if dir != "" {
-		return dir
-	}
-	const shared = "/dev/shm"
-	var fs syscall.Statfs_t
-	if err := syscall.Statfs(shared, &fs); err == nil && fs.Bavail*uint64(fs.Bsize) > 2<<30 {
-		if probe, err := os.MkdirTemp(shared, "larchlab-probe-"); err == nil {
-			os.Remove(probe)
-			return shared
-		}
-	}
-	return os.TempDir()
-}
-
-// raiseLimits lets the lab hold a socket for each pair of parties.
-func raiseLimits() {
-	var l syscall.Rlimit
-	if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &l) == nil {
-		l.Cur = l.Max
-		syscall.Setrlimit(syscall.RLIMIT_NOFILE, &l)
-	}
-}
-
 // start starts all relays, several at once.
 func (w *world) start(ctx context.Context) error {
 	for i := range w.scenario.Fleet.Relays {
--- a/internal/lab/link/conn.go
+++ b/internal/lab/link/conn.go
@@ -42,6 +42,7 @@
 	gone   chan struct{}
 	goneAt atomic.Int64
 	shut   atomic.Bool
+	half   atomic.Bool // the lab's party has ended its sending, and reads on
 	broken atomic.Bool // by the lab or one of its faults
 	// sent is how many bytes have been sent on their way to the front, written how many of them have been written there.
 	sent, written atomic.Uint64
@@ -90,11 +91,21 @@
 	return nil
 }
 
+// CloseWrite ends the sending of the lab's party once what is on its way has come, and lets it read on.
+func (c *Conn) CloseWrite() {
+	if !c.half.Swap(true) {
+		c.out.end(io.EOF, c.link.net.Clock.Now())
+	}
+}
+
 // Close ends the connection in order: what is on its way still comes.
 func (c *Conn) Close() error {
 	if c.shut.Swap(true) {
 		return nil
 	}
+	if c.half.Load() {
+		return c.sock.Close()
+	}
 	c.out.end(io.EOF, c.link.net.Clock.Now())
 	return nil
 }
@@ -176,7 +187,7 @@
 		if got.end != nil {
 			if got.end == errReset {
 				abort(to)
-			} else if c.far != nil {
+			} else if c.far != nil || c.half.Load() {
 				to.CloseWrite()
 			} else {
 				to.Close()
--- a/internal/lab/link/faults.go
+++ b/internal/lab/link/faults.go
@@ -23,6 +23,8 @@
 	ResentIn  time.Duration // ... and that comes so much later, with all behind it
 	HalfOpen  bool          // the end of a connection is not told
 	LateClose time.Duration // the end of a connection is told so much later
+	// SilentBefore is a time: connections that came up before stay open, and nothing comes through them. Later ones are sound.
+	SilentBefore time.Time
 }
 
 // with is what holds if both do.
@@ -32,7 +34,11 @@
 	}
 	both := Faults{Cut: f.Cut || g.Cut, Refused: f.Refused || g.Refused, Reset: f.Reset || g.Reset, ResetAt: f.ResetAt + g.ResetAt,
 		Delay: max(f.Delay, g.Delay), Spread: max(f.Spread, g.Spread), Rate: min(f.Rate, g.Rate), Loss: max(f.Loss, g.Loss),
-		Resent: max(f.Resent, g.Resent), ResentIn: max(f.ResentIn, g.ResentIn), HalfOpen: f.HalfOpen || g.HalfOpen, LateClose: max(f.LateClose, g.LateClose)}
+		Resent: max(f.Resent, g.Resent), ResentIn: max(f.ResentIn, g.ResentIn), HalfOpen: f.HalfOpen || g.HalfOpen, LateClose: max(f.LateClose, g.LateClose),
+		SilentBefore: f.SilentBefore}
+	if both.SilentBefore.Before(g.SilentBefore) {
+		both.SilentBefore = g.SilentBefore
+	}
 	if f.Rate == 0 || g.Rate == 0 {
 		both.Rate = max(f.Rate, g.Rate)
 	}
--- a/internal/lab/link/queue.go
+++ b/internal/lab/link/queue.go
@@ -26,7 +26,8 @@
 
 // queue is one way of one connection: bytes come whole, in order, or not at all.
 type queue struct {
-	way *way
+	way   *way
+	begun time.Time // when its connection came up
 
 	mu       sync.Mutex
 	moved    sync.Cond
@@ -42,7 +43,7 @@
 }
 
 func newQueue(w *way) *queue {
-	q := &queue{way: w}
+	q := &queue{way: w, begun: time.Now()}
 	q.moved.L = &q.mu
 	w.add(q)
 	return q
@@ -105,7 +106,7 @@
 			return chunk{}, os.ErrDeadlineExceeded
 		}
 		f := q.way.now()
-		if len(q.chunks) == 0 || f.Cut || f.HalfOpen && q.chunks[0].end != nil {
+		if len(q.chunks) == 0 || f.Cut || q.begun.Before(f.SilentBefore) || f.HalfOpen && q.chunks[0].end != nil {
 			q.sleep(time.Time{})
 			continue
 		}
--- a/internal/lab/platform/clients.go
+++ b/internal/lab/platform/clients.go
@@ -5,6 +5,7 @@
 	"encoding/base64"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -37,6 +38,7 @@
 	client     int
 	again      int // times that it was handed in after a refusal
 	early      bool
+	halfClosed bool // its client ends its sending behind the request
 }
 
 // The times of a client.
@@ -56,6 +58,7 @@
 func (c *Clients) Play(ctx context.Context) {
 	s, r := c.Scenario, rand.New(rand.NewPCG(c.Scenario.Seed, 0x2b))
 	early := rand.New(rand.NewPCG(c.Scenario.Seed, 0x3c))
+	manners := rand.New(rand.NewPCG(c.Scenario.Seed, 0x3d))
 	next := time.Now()
 	burstFrom, burstTo := next, next
 	for i := 0; ctx.Err() == nil && s.Load.Rate > 0; i++ {
@@ -91,11 +94,14 @@
 			}
 			m.dest = dest
 			m.early = early.Float64() < s.Load.Early
-			c.wait.Add(1)
-			go func() {
-				defer c.wait.Done()
-				c.hand(m, "")
-			}()
+			if s.Load.Pipelined > 0 && manners.Float64() < s.Load.Pipelined {
+				behind := c.draw(r)
+				behind.client = m.client
+				c.wait.Go(func() { c.handBoth(m, behind) })
+				continue
+			}
+			m.halfClosed = s.Load.HalfClosed > 0 && manners.Float64() < s.Load.HalfClosed
+			c.wait.Go(func() { c.hand(m, "") })
 		}
 	}
 	c.stop.Store(true)
@@ -145,44 +151,50 @@
 			hands--
 			continue
 		}
-		id := fmt.Sprintf("m%09x%08x", c.n.Add(1), uint32(c.Scenario.Seed))
-		if m.first == "" {
-			m.first = id
-		}
-		c.mu.Lock()
-		c.open[id] = m
-		c.mu.Unlock()
-		time.AfterFunc(left+10*time.Second, func() {
-			c.mu.Lock()
-			defer c.mu.Unlock()
-			delete(c.open, id)
-		})
-		c.Record(history.Event{T: c.Clock.Now(), Kind: history.Hand, Relay: relay, ID: id, First: m.first, Class: m.class.Name, Tenant: m.tenant,
-			Dest: m.dest, Key: m.key, Left: left.Milliseconds(), Sum: Sum(append([]byte(m.key+"\n"), m.body...))})
+		id := c.begin(m, relay, left)
 		status, after, how := c.try(m, id, relay, addr, mark, left)
-		switch {
-		case status == 0:
-			c.Record(history.Event{T: c.Clock.Now(), Kind: history.Left, Relay: relay, ID: id, How: how})
-			c.mu.Lock()
-			delete(c.open, id)
-			c.mu.Unlock()
-			if how == leftEarly {
-				return
-			}
-			mark = "again"
-		case status == 200 || status == 202:
-			return
-		case status == 429 || status == 503:
-			if !c.comeAgain(m, after) {
-				return
-			}
-			mark = ""
-		default:
+		var again bool
+		if mark, again = c.settle(m, id, relay, status, after, how); !again {
 			return
 		}
 	}
 }
 
+// begin gives a message an id under which it is handed in to a relay, and records that.
+func (c *Clients) begin(m *message, relay string, left time.Duration) (id string) {
+	id = fmt.Sprintf("m%09x%08x", c.n.Add(1), uint32(c.Scenario.Seed))
+	if m.first == "" {
+		m.first = id
+	}
+	c.mu.Lock()
+	c.open[id] = m
+	c.mu.Unlock()
+	time.AfterFunc(left+10*time.Second, func() { c.forget(id) })
+	c.Record(history.Event{T: c.Clock.Now(), Kind: history.Hand, Relay: relay, ID: id, First: m.first, Class: m.class.Name, Tenant: m.tenant,
+		Dest: m.dest, Key: m.key, Left: left.Milliseconds(), Sum: Sum(append([]byte(m.key+"\n"), m.body...))})
+	return id
+}
+
+// settle does what a client does after it has tried, and tells whether and with which mark it hands the message in again.
+func (c *Clients) settle(m *message, id, relay string, status int, after time.Duration, how string) (mark string, again bool) {
+	switch status {
+	case 0:
+		c.Record(history.Event{T: c.Clock.Now(), Kind: history.Left, Relay: relay, ID: id, How: how})
+		c.forget(id)
+		return "again", how != leftEarly
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return "", c.comeAgain(m, after)
+	}
+	return "", false
+}
+
+// forget drops an id whose end makes no difference any more.
+func (c *Clients) forget(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.open, id)
+}
+
 // comeAgain waits as a client does that was refused, and tells whether it hands the message in again.
 func (c *Clients) comeAgain(m *message, after time.Duration) bool {
 	if m.again >= c.Draw.Retries {
--- /dev/null
+++ b/internal/lab/platform/connections.go
@@ -0,0 +1,75 @@
+package platform
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+)
+
+// The connections that a client keeps.
+
+// connect takes a kept connection, or opens one.
+func (c *Clients) connect(client int, relay, addr string, end time.Time, fresh bool) (*clientConn, error) {
+	key := connKey(client, relay)
+	for !fresh {
+		c.mu.Lock()
+		kept := c.idle[key]
+		if len(kept) == 0 {
+			c.mu.Unlock()
+			break
+		}
+		conn := kept[len(kept)-1]
+		c.idle[key] = kept[:len(kept)-1]
+		c.mu.Unlock()
+		select {
+		case <-conn.Gone():
+			conn.Abort()
+			continue
+		default:
+		}
+		return conn, nil
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), end)
+	defer cancel()
+	source := ""
+	if c.ClientIP != nil {
+		source = c.ClientIP(client)
+	}
+	conn, err := c.Net.Dial(ctx, fmt.Sprintf("client/%d", client), relay, source, addr)
+	if err != nil {
+		return nil, err
+	}
+	return &clientConn{Conn: conn, in: bufio.NewReader(conn)}, nil
+}
+
+// connKey names the connections of a client to a relay.
+func connKey(client int, relay string) string { return fmt.Sprint(client, " ", relay) }
+
+// keep keeps a connection after an answer, unless one side has said that it ends it.
+func (c *Clients) keep(client int, relay string, conn *clientConn, last *http.Response) {
+	conn.watch.stop()
+	conn.used = true
+	conn.SetReadDeadline(time.Time{})
+	key := connKey(client, relay)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if last.Close || conn.halfClosed || len(c.idle[key]) >= idleMost {
+		conn.Close()
+		return
+	}
+	c.idle[key] = append(c.idle[key], conn)
+}
+
+// Close ends the connections that are kept.
+func (c *Clients) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, kept := range c.idle {
+		for _, conn := range kept {
+			conn.Abort()
+		}
+	}
+	c.idle = map[string][]*clientConn{}
+}
--- a/internal/lab/platform/discovery.go
+++ b/internal/lab/platform/discovery.go
@@ -1,7 +1,6 @@
 package platform
 
 import (
-	"bytes"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -45,6 +44,7 @@
 	down    chan struct{} // closed while it is down
 	isDown  bool
 	late    time.Duration
+	slow    time.Duration // before a notice is answered
 	queue   chan struct{} // a place at the counter: calls are handled in turn
 	watches map[string]int
 	last    map[string]time.Time // when a watch of a relay was answered last
@@ -179,34 +179,6 @@
 	return respond(a.conn, http.StatusNotFound, "", nil, nil) == nil
 }
 
-// notices takes the ends of messages, also while discovery is down.
-func (d *Discovery) notices(relay string, a *asked) bool {
-	type notice struct {
-		ID     string `json:"id"`
-		Status string `json:"status"`
-		Again  int64  `json:"again_ms"`
-	}
-	var all []notice
-	for line := range bytes.Lines(a.body) {
-		if len(bytes.TrimSpace(line)) == 0 {
-			continue
-		}
-		var n notice
-		if err := json.Unmarshal(line, &n); err != nil || n.ID == "" || n.Status != "undeliverable" && n.Status != "deferred" {
-			d.Record(history.Event{T: d.Clock.Now(), Kind: history.Bad, Relay: relay, Endpoint: "status", Text: "notice " + string(line)})
-			return respond(a.conn, http.StatusBadRequest, "", nil, nil) == nil
-		}
-		all = append(all, n)
-	}
-	for _, n := range all {
-		d.Record(history.Event{T: a.whole, Kind: history.Notice, Relay: relay, ID: n.ID, How: n.Status, Wait: n.Again})
-		if d.Noticed != nil {
-			d.Noticed(n.ID, n.Status, time.Duration(n.Again)*time.Millisecond)
-		}
-	}
-	return respond(a.conn, http.StatusNoContent, "", nil, nil) == nil
-}
-
 // tell answers a call for the list, or a watch once there is something new.
 func (d *Discovery) tell(relay string, a *asked) bool {
 	since, _ := strconv.ParseInt(a.URL.Query().Get("since"), 10, 64)
--- /dev/null
+++ b/internal/lab/platform/notices_test.go
@@ -0,0 +1,40 @@
+package platform
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"larchrouter/internal/lab/history"
+)
+
+// Guards against a slow platform that answers at once, or that takes a notice no sooner than it answers.
+func TestSlowNotices(t *testing.T) {
+	env := newEnv(t, nil)
+	d := NewDiscovery(env.Env, NewPartners(env.Env))
+	addr, err := d.Serve("relay/0", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	taken := make(chan struct{}, 1)
+	d.Noticed = func(string, string, time.Duration) { taken <- struct{}{} }
+	const slow = 200 * time.Millisecond
+	d.SlowNotices(slow)
+	answered := make(chan time.Time, 1)
+	begin := time.Now()
+	go func() {
+		resp, err := http.Post("http://"+addr+"/status", "application/json", strings.NewReader("{\"id\":\"a\",\"status\":\"deferred\"}\n"))
+		if err == nil {
+			resp.Body.Close()
+		}
+		answered <- time.Now()
+	}()
+	<-taken
+	if env.count(history.Notice) != 1 {
+		t.Error("the notice is not recorded as it comes")
+	}
+	if at := <-answered; at.Sub(begin) < slow {
+		t.Errorf("it was answered after %v, want %v", at.Sub(begin), slow)
+	}
+}
--- a/internal/lab/platform/request.go
+++ b/internal/lab/platform/request.go
@@ -2,12 +2,12 @@
 
 import (
 	"bufio"
-	"context"
 	"fmt"
 	"io"
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -22,6 +22,9 @@
 	*link.Conn
 	in   *bufio.Reader
 	used bool
+	// halfClosed says that the client has ended its sending.
+	halfClosed bool
+	watch      *readWatch // of what was sent last
 }
 
 // The ways in which a client leaves without an answer.
@@ -50,67 +53,81 @@
 // is written once more on a new one; one that it had surely read is owed an answer.
 func (c *Clients) try(m *message, id, relay, addr, mark string, left time.Duration) (status int, after time.Duration, how string) {
 	request := m.request(id, mark, left)
-	key := fmt.Sprint(m.client, " ", relay)
 	end := time.Now().Add(patience)
 	if m.early {
 		end = time.Now().Add(earlyAfter)
 	}
 	for again := false; ; again = true {
-		conn, err := c.connect(m.client, key, relay, addr, end, again)
+		conn, err := c.connect(m.client, relay, addr, end, again)
 		if err != nil {
 			return 0, 0, noConnection
 		}
-		resp, read, err := conn.exchange(request, end)
+		kept := conn.used
+		conn.send(request, end)
+		if m.halfClosed {
+			conn.halfClosed = true
+			conn.CloseWrite()
+		}
+		resp, err := conn.answer()
 		if err != nil {
-			late, broken, kept := !time.Now().Before(end), conn.Broken(), conn.used
-			conn.Abort()
+			how, anew := conn.ended(end)
 			switch {
-			case late && m.early:
+			case how == noAnswer && m.early:
 				return 0, 0, leftEarly
-			case late:
-				return 0, 0, noAnswer
-			case read && !broken:
-				return 0, 0, history.Unanswered
-			case again || broken && !kept:
-				return 0, 0, connEnded
+			case anew && !again && !m.halfClosed && (kept || !conn.Broken()):
+				continue
 			}
-			continue
-		}
-		heard := c.Clock.Now()
-		s, _ := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
-		after = time.Duration(s * float64(time.Second))
-		c.Record(history.Event{T: heard, Kind: history.Heard, Relay: relay, ID: id, Status: resp.StatusCode, Wait: after.Milliseconds()})
-		conn.used = true
-		if resp.Close {
-			conn.Close()
-		} else {
-			c.keep(key, conn)
+			return 0, 0, how
 		}
+		after = c.heard(id, relay, resp)
+		c.keep(m.client, relay, conn, resp)
 		return resp.StatusCode, after, ""
 	}
 }
 
-// exchange writes a request and reads its answer until a time. Read tells whether the relay had surely read the request
-// before the connection ended.
-func (c *clientConn) exchange(request []byte, end time.Time) (resp *http.Response, read bool, err error) {
+// heard records an answer, and tells after which time it asks the client to come again.
+func (c *Clients) heard(id, relay string, resp *http.Response) (after time.Duration) {
+	s, _ := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+	after = time.Duration(s * float64(time.Second))
+	c.Record(history.Event{T: c.Clock.Now(), Kind: history.Heard, Relay: relay, ID: id, Status: resp.StatusCode, Wait: after.Milliseconds()})
+	return after
+}
+
+// send writes requests, and waits for their answers until a time.
+func (c *clientConn) send(requests []byte, end time.Time) {
 	c.SetReadDeadline(end)
-	defer c.SetReadDeadline(time.Time{})
-	watch := c.watchRead(request)
-	resp, err = http.ReadResponse(c.in, nil)
+	c.watch = c.watchRead(requests)
+}
+
+// answer reads the next answer.
+func (c *clientConn) answer() (*http.Response, error) {
+	resp, err := http.ReadResponse(c.in, nil)
 	if err == nil {
 		_, err = io.Copy(io.Discard, resp.Body)
 	}
-	read = watch.stop()
-	if err != nil && !read {
-		read = c.PeerClosedAfterReading()
+	return resp, err
+}
+
+// ended gives up a connection on which an answer is missing. It tells how the client leaves, and whether what was not answered
+// may be written anew on another connection, because it is not known to have been read.
+func (c *clientConn) ended(end time.Time) (how string, anew bool) {
+	read := c.watch.stop() || c.PeerClosedAfterReading()
+	late, broken := !time.Now().Before(end), c.Broken()
+	c.Abort()
+	switch {
+	case late:
+		return noAnswer, false
+	case read && !broken:
+		return history.Unanswered, false
 	}
-	return resp, read, err
+	return connEnded, true
 }
 
 // readWatch finds out whether the relay reads a request while its client waits for the answer.
 type readWatch struct {
 	read atomic.Bool
 	over chan struct{}
+	once sync.Once
 }
 
 // The times at which a watch looks: often at first, for most requests are answered at once.
@@ -157,61 +174,6 @@
 
 // stop ends the watch, and tells what it found.
 func (w *readWatch) stop() bool {
-	close(w.over)
+	w.once.Do(func() { close(w.over) })
 	return w.read.Load()
 }
-
-// connect takes a kept connection, or opens one.
-func (c *Clients) connect(client int, key, relay, addr string, end time.Time, fresh bool) (*clientConn, error) {
-	for !fresh {
-		c.mu.Lock()
-		kept := c.idle[key]
-		if len(kept) == 0 {
-			c.mu.Unlock()
-			break
-		}
-		conn := kept[len(kept)-1]
-		c.idle[key] = kept[:len(kept)-1]
-		c.mu.Unlock()
-		select {
-		case <-conn.Gone():
-			conn.Abort()
-			continue
-		default:
-		}
-		return conn, nil
-	}
-	ctx, cancel := context.WithDeadline(context.Background(), end)
-	defer cancel()
-	source := ""
-	if c.ClientIP != nil {
-		source = c.ClientIP(client)
-	}
-	conn, err := c.Net.Dial(ctx, fmt.Sprintf("client/%d", client), relay, source, addr)
-	if err != nil {
-		return nil, err
-	}
-	return &clientConn{Conn: conn, in: bufio.NewReader(conn)}, nil
-}
-
-func (c *Clients) keep(key string, conn *clientConn) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if len(c.idle[key]) >= idleMost {
-		conn.Close()
-		return
-	}
-	c.idle[key] = append(c.idle[key], conn)
-}
-
-// Close ends the connections that are kept.
-func (c *Clients) Close() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, kept := range c.idle {
-		for _, conn := range kept {
-			conn.Abort()
-		}
-	}
-	c.idle = map[string][]*clientConn{}
-}
--- a/internal/lab/platform/request_test.go
+++ b/internal/lab/platform/request_test.go
@@ -17,6 +17,7 @@
 // closer is a relay that ends connections on purpose: what happens on each is said by a word of its script.
 //
 //	answer  reads a request, answers it and goes on with the next word on the same connection
+//	last    reads a request, answers that it ends the connection, and does
 //	read    reads a request and closes with no answer
 //	unread  closes once a request has begun to come, without reading it
 type closer struct {
@@ -26,6 +27,33 @@
 	ids    []string // of the requests that were read
 }
 
+// newCloser starts a relay with a script, and a front that knows it.
+func newCloser(t *testing.T, script string) (*closer, *Front) {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	relay := &closer{Listener: l, script: strings.Fields(script)}
+	go relay.run()
+	front := NewFront()
+	front.Add("relay/0", l.Addr().String())
+	front.Use("relay/0", true)
+	return relay, front
+}
+
+// unanswered is how many requests were read and got no answer.
+func (r *recorded) unanswered() (n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, e := range r.all {
+		if e.Kind == history.Left && e.How == history.Unanswered {
+			n++
+		}
+	}
+	return n
+}
+
 func (r *closer) next() (word string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -66,6 +94,10 @@
 		if word == "read" {
 			return
 		}
+		if word == "last" {
+			io.WriteString(conn, "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
+			return
+		}
 		io.WriteString(conn, "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n")
 	}
 }
@@ -89,15 +121,7 @@
 		{"read read answer", 3, 3, 2},
 	} {
 		env := newEnv(t, func(*scenario.Scenario, *Draw) {})
-		l, err := net.Listen("tcp4", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		relay := &closer{Listener: l, script: strings.Fields(c.script)}
-		go relay.run()
-		front := NewFront()
-		front.Add("relay/0", l.Addr().String())
-		front.Use("relay/0", true)
+		relay, front := newCloser(t, c.script)
 		clients := NewClients(env.Env, front)
 		draws := rand.New(rand.NewPCG(1, 1))
 		if strings.HasPrefix(c.script, "answer ") { // one before, so that there is a kept connection
@@ -110,13 +134,8 @@
 		m.client = 0
 		clients.hand(m, "")
 		clients.Close()
-		l.Close()
-		unanswered := 0
-		for _, e := range env.all {
-			if e.Kind == history.Left && e.How == history.Unanswered {
-				unanswered++
-			}
-		}
+		relay.Close()
+		unanswered := env.unanswered()
 		if got := env.count(history.Hand); got != c.hands || len(relay.ids) != c.reads || unanswered != c.unanswered || env.count(history.Heard) != 1 {
 			t.Errorf("%s: handed in %d times, read %d times, %d times read with no answer, answered %d times; want %d, %d, %d, 1",
 				c.script, got, len(relay.ids), unanswered, env.count(history.Heard), c.hands, c.reads, c.unanswered)
@@ -124,6 +143,50 @@
 	}
 }
 
+// Guards against two requests on one connection of which one is handed in too often, forgiven or blamed.
+func TestPipelinedRequests(t *testing.T) {
+	for _, c := range []struct {
+		script     string
+		hands      int // ids for both messages
+		unanswered int
+	}{
+		{"answer answer", 2, 0},
+		{"unread answer answer", 2, 0},
+		{"last answer", 2, 0}, // its answer says that it ends the connection: the second goes on another
+		{"answer read answer", 3, 1},
+		{"read answer answer", 4, 2}, // both were read
+	} {
+		env := newEnv(t, func(*scenario.Scenario, *Draw) {})
+		relay, front := newCloser(t, c.script)
+		clients := NewClients(env.Env, front)
+		draws := rand.New(rand.NewPCG(1, 1))
+		clients.handBoth(clients.draw(draws), clients.draw(draws))
+		clients.wait.Wait()
+		clients.Close()
+		relay.Close()
+		if got, lost := env.count(history.Hand), env.unanswered(); got != c.hands || lost != c.unanswered || env.count(history.Heard) != 2 {
+			t.Errorf("%s: handed in %d times, %d times read with no answer, answered %d times; want %d, %d, 2", c.script, got, lost, env.count(history.Heard), c.hands, c.unanswered)
+		}
+	}
+}
+
+// Guards against a client that ends its sending and does not hear its answer, or uses the connection again.
+func TestHalfClosedRequests(t *testing.T) {
+	env := newEnv(t, func(*scenario.Scenario, *Draw) {})
+	relay, front := newCloser(t, "answer answer")
+	clients := NewClients(env.Env, front)
+	draws := rand.New(rand.NewPCG(1, 1))
+	for range 2 {
+		m := clients.draw(draws)
+		m.client, m.halfClosed = 0, true
+		clients.hand(m, "")
+	}
+	relay.Close()
+	if env.count(history.Hand) != 2 || env.count(history.Heard) != 2 || len(clients.idle) != 0 {
+		t.Errorf("handed in %d times, answered %d times, %d kept; want 2, 2, 0", env.count(history.Hand), env.count(history.Heard), len(clients.idle))
+	}
+}
+
 // Guards against a watch that misses a request which is read only after a while.
 func TestReadWatch(t *testing.T) {
 	looks := 0
--- a/internal/lab/proc/proc.go
+++ b/internal/lab/proc/proc.go
@@ -3,8 +3,6 @@
 package proc
 
 import (
-	"bufio"
-	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -28,6 +26,7 @@
 	Sockets int    // descriptors that it may hold
 	Log     string // file that its output goes to
 	LogMost int64  // bytes that are kept of it
+	Cores   Cores  // that it may run on; nil for those of the lab
 }
 
 // Process is one that was started.
@@ -75,7 +74,7 @@
 	cmd.Stderr = cmd.Stdout
 	p := &Process{Name: s.Name, cmd: cmd, done: make(chan struct{})}
 	started := make(chan error)
-	starter() <- func() { started <- cmd.Start() }
+	starter() <- func() { started <- s.Cores.whileOn(cmd.Start) }
 	if err := <-started; err != nil {
 		log.Close()
 		return nil, fmt.Errorf("%s: %w", s.Name, err)
@@ -186,112 +185,3 @@
 	}
 	return float64(sum) / 1e6, nil
 }
-
-// capped is a file that keeps the first half and the last quarter of what is written to it, at least: a start
-// and an end tell more than the middle.
-type capped struct {
-	f          *os.File
-	most, size int64
-	old        bool // what came first has been kept apart
-}
-
-func newCapped(path string, most int64) (*capped, error) {
-	f, err := os.OpenFile(path, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o644)
-	if err != nil {
-		return nil, err
-	}
-	if most <= 0 {
-		most = 8 << 20
-	}
-	return &capped{f: f, most: most}, nil
-}
-
-func (c *capped) Write(p []byte) (int, error) {
-	if c.size+int64(len(p)) > c.most/2 && c.size > 0 {
-		if err := c.turn(); err != nil {
-			return len(p), nil // the program is not to stop for its log
-		}
-	}
-	n := min(int64(len(p)), c.most/2)
-	c.f.Write(p[:n])
-	c.size += n
-	return len(p), nil
-}
-
-// turn starts the file anew; the first one is kept.
-func (c *capped) turn() error {
-	if !c.old {
-		c.old = true
-		if err := os.Rename(c.f.Name(), c.f.Name()+".first"); err != nil {
-			return err
-		}
-		f, err := os.OpenFile(c.f.Name(), os.O_CREATE|os.O_WRONLY|os.O_TRUNC, 0o644)
-		if err != nil {
-			return err
-		}
-		c.f.Close()
-		c.f, c.size = f, 0
-		return nil
-	}
-	c.size = 0
-	if err := c.f.Truncate(0); err != nil {
-		return err
-	}
-	_, err := c.f.Seek(0, io.SeekStart)
-	return err
-}
-
-func (c *capped) Close() error { return c.f.Close() }
-
-// Tail is the end of a program's log.
-func Tail(path string, lines int) []string {
-	f, err := os.Open(path)
-	if err != nil {
-		return nil
-	}
-	defer f.Close()
-	var last []string
-	for s := bufio.NewScanner(f); s.Scan(); {
-		if last = append(last, s.Text()); len(last) > lines {
-			last = last[1:]
-		}
-	}
-	return last
-}
-
-// Folder makes a folder for a run under dir, and removes those that labs which have died left there.
-func Folder(dir string) (string, error) {
-	const prefix = "larchlab-"
-	old, err := filepath.Glob(filepath.Join(dir, prefix+"*"))
-	if err != nil {
-		return "", err
-	}
-	for _, path := range old {
-		owner, _, _ := strings.Cut(strings.TrimPrefix(filepath.Base(path), prefix), "-")
-		pid, err := strconv.Atoi(owner)
-		if err != nil || pid == os.Getpid() || syscall.Kill(pid, 0) == nil {
-			continue
-		}
-		if err := os.RemoveAll(path); err != nil {
-			return "", fmt.Errorf("folder of a lab that has died: %w", err)
-		}
-	}
-	return os.MkdirTemp(dir, fmt.Sprintf("%s%d-", prefix, os.Getpid()))
-}
-
-// Deploy is what the deploy file says of building and starting the program.
-type Deploy struct {
-	Root  string // of the repository
-	Build string `toml:"build"`
-	Run   string `toml:"run"`
-}
-
-// Built runs the deploy file's build, whose output shows only if it fails.
-func (d Deploy) Built(ctx context.Context) error {
-	cmd := exec.CommandContext(ctx, "/bin/sh", "-c", d.Build)
-	cmd.Dir = d.Root
-	if out, err := cmd.CombinedOutput(); err != nil {
-		return fmt.Errorf("build of the deploy file: %w\n%s", err, out)
-	}
-	return nil
-}
--- a/internal/lab/relay.go
+++ b/internal/lab/relay.go
@@ -144,7 +144,7 @@
 	log := r.logPath()
 	r.w.record(history.Event{Kind: history.Proc, Proc: r.name, How: "start", Text: text})
 	p, err := proc.Start(proc.Spec{Name: r.name, Command: r.w.options.Command, Dir: r.w.options.Root, Env: append(env, r.w.options.Env...), Sockets: r.w.scenario.Fleet.Sockets,
-		Log: log}, func(p *proc.Process) { r.w.ended(r.name, p, log) })
+		Log: log, Cores: r.w.relayCores}, func(p *proc.Process) { r.w.ended(r.name, p, log) })
 	if err != nil {
 		return err
 	}
--- a/internal/lab/scenario/check.go
+++ b/internal/lab/scenario/check.go
@@ -51,6 +51,7 @@
 	if s.Fleet.BacklogMB > 0 && s.Fleet.Copies > 0 {
 		bad("fleet.backlog-mb", "does not go with fleet.copies: holders would not have what lies on disk")
 	}
+	within("fleet.shared-cores", float64(s.Fleet.SharedCores), 0, 1024)
 	within("fleet.cores", s.Fleet.Cores, 0.05, 1024)
 	within("platform.destinations", float64(s.Platform.Destinations), 1, 1000)
 	within("platform.endpoints", float64(s.Platform.Endpoints), 1, 100)
@@ -63,6 +64,8 @@
 	within("load.clients", float64(s.Load.Clients), 1, 10000)
 	within("load.early", s.Load.Early, 0, 1)
 	within("load.clump", float64(s.Load.Clump), 1, 1000)
+	within("load.pipelined", s.Load.Pipelined, 0, 1)
+	within("load.half-closed", s.Load.HalfClosed, 0, 1)
 	within("load.strangers", s.Load.Strangers, 0, 1000)
 	if len(s.Load.Classes) == 0 {
 		bad("load.classes", "must name one at least of %s", strings.Join(Classes, ", "))
@@ -150,8 +153,8 @@
 			return fmt.Errorf("%s needs part: errors and garble a share above 0, slow a factor above 1, limit a factor above 0", f.Kind)
 		}
 	case from.kind == "discovery" && is(listFaults):
-		if f.Kind == "late-list" && f.By == 0 {
-			return errors.New("late-list needs by")
+		if f.Kind != "outage" && f.By == 0 {
+			return fmt.Errorf("%s needs by", f.Kind)
 		}
 	default:
 		return fmt.Errorf("%q is nothing that is wrong with %q", f.Kind, f.From)
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -61,6 +61,8 @@
 	// BacklogMB is what messages that wait may take of the disk; 0 for a relay that keeps none there.
 	BacklogMB float64 `toml:"backlog-mb"`
 	Cores     float64 `toml:"cores"`
+	// SharedCores is how many of the machine's cores all relays share, and the lab keeps off; 0 for no division.
+	SharedCores int `toml:"shared-cores"`
 }
 
 // Platform bounds what the seed draws of the partners.
@@ -84,6 +86,10 @@
 	Classes   []string `toml:"classes"`
 	Clump     int      `toml:"clump"`     // messages that come at once for one destination, in the mean; 1 for one by one
 	Strangers float64  `toml:"strangers"` // peers a second that send what is no message, or nothing
+	// Pipelined is the share of messages that another one is written behind, before the answer to the first.
+	Pipelined float64 `toml:"pipelined"`
+	// HalfClosed is the share of messages whose client ends its sending behind the request, and waits for the answer.
+	HalfClosed float64 `toml:"half-closed"`
 }
 
 // Fault is something that is wrong for a while.
@@ -94,7 +100,7 @@
 	From   string   `toml:"from"`
 	To     string   `toml:"to"`
 	Both   bool     `toml:"both"`   // both ways of the links
-	By     Duration `toml:"by"`     // of delay and late-list
+	By     Duration `toml:"by"`     // of delay, late-list and slow-notices
 	Spread Duration `toml:"spread"` // of delay
 	Part   float64  `toml:"part"`   // share of errors, drops; factor of slow
 	Rate   int64    `toml:"rate"`   // bytes a second of slow links
@@ -123,10 +129,10 @@
 
 // The kinds of fault: those of links, of processes, of partners and of discovery.
 var (
-	linkFaults    = []string{"cut", "drop", "delay", "slow", "reset", "halfopen", "refuse", "lateclose"}
+	linkFaults    = []string{"cut", "drop", "delay", "slow", "reset", "halfopen", "refuse", "lateclose", "silence"}
 	processFaults = []string{"pause", "kill", "term", "upgrade", "lose", "rollback"}
 	partnerFaults = []string{"outage", "shut", "errors", "slow", "limit", "garble"}
-	listFaults    = []string{"outage", "late-list"}
+	listFaults    = []string{"outage", "late-list", "slow-notices"}
 	steps         = []string{"settings", "list", "drain", "ban", "unban"}
 	// laterSteps and the expectations without a measure need grants and permits, which are not there yet. They
 	// are refused rather than passed over: nothing would have been shown.
