lab: the time of a message counts from its request's last byte

The rule on ends counted from when a client began to hand a message in, before its connection was up. The protocol counts from the request's last byte: the client now tells with its answer when that was written at the front.

--- a/internal/lab/history/history.go
+++ b/internal/lab/history/history.go
@@ -34,7 +34,7 @@
 const (
 	Run     Kind = "run"     // the first event: Terms, Text is the scenario's name
 	Hand    Kind = "hand"    // a client's request is on its way: ID, First, Class, Tenant, Dest, Key, Left, Sum
-	Heard   Kind = "heard"   // its answer came: ID, Status, Wait
+	Heard   Kind = "heard"   // its answer came: ID, Status, Wait; Whole is when the request's last byte was written (front), if known
 	Left    Kind = "left"    // the client stopped waiting, or its connection ended: ID, How (Unanswered for one that was read)
 	Call    Kind = "call"    // a call is whole at an endpoint: Call, IDs, Endpoint, Dest, Begun and Whole (front)
 	Bad     Kind = "bad"     // an endpoint was sent what no relay may send: Endpoint, Text
--- a/internal/lab/platform/pipeline.go
+++ b/internal/lab/platform/pipeline.go
@@ -59,7 +59,7 @@
 			}
 			return
 		}
-		h.status, h.after = resp.StatusCode, c.heard(h.id, relay, resp)
+		h.status, h.after = resp.StatusCode, c.heard(h.id, relay, conn, resp)
 		last = resp
 		if resp.Close { // it says so: what is behind is the client's to write anew
 			for _, rest := range both[i+1:] {
--- a/internal/lab/rules/messages.go
+++ b/internal/lab/rules/messages.go
@@ -30,6 +30,9 @@
 		return
 	}
 	m.lines = append(m.lines, e)
+	if e.Whole > 0 { // the time of a request counts from its last byte
+		m.due = e.Whole + m.Left*ms
+	}
 	p := c.proc(e.Relay)
 	switch {
 	case e.Status == 200 || e.Status == 202:
--- a/internal/lab/rules/terms_test.go
+++ b/internal/lab/rules/terms_test.go
@@ -43,7 +43,12 @@
 			name + ", and it never ends": {End, with(trouble...)},
 		})
 	}
+	written := heard(310, "m", 202)
+	written.Whole = 300
+	writtenLate := []history.Event{hand(100, "m", "keyed"), written}
 	check(t, map[string]ruleCase{
+		"counted from its last byte":       {"", append(writtenLate[:2:2], notice(4649, "m", "deferred"))},
+		"late, counted from its last byte": {End, append(writtenLate[:2:2], notice(4651, "m", "deferred"))},
 		"a pause as it is due":             {"", with(stopped, proc(6000, "cont"), notice(6350, "m", "deferred"))},
 		"too late after that":              {End, with(stopped, proc(6000, "cont"), notice(6360, "m", "deferred"))},
 		"read late, and ended in its time": {"", append(readLate, notice(4449, "m", "deferred"))},
