lab: a client that half closed is to its relay one that has left

A relay that sees a client's end answers 503 and counts nothing, as for a client that is gone; one that had only ended its sending hears that, and the rule on figures wanted it counted. The history now says which clients half close. A refusal that any other client hears has to be counted as before.

--- a/internal/lab/history/history.go
+++ b/internal/lab/history/history.go
@@ -33,7 +33,7 @@
 // written there the process can read.
 const (
 	Run     Kind = "run"     // the first event: Terms, Text is the scenario's name
-	Hand    Kind = "hand"    // a client's request is on its way: ID, First, Class, Tenant, Dest, Key, Left, Sum
+	Hand    Kind = "hand"    // a client's request is on its way: ID, First, Class, Tenant, Dest, Key, Left, Sum; How is HalfClosed or empty
 	Heard   Kind = "heard"   // its answer came: ID, Status, Wait; Whole is when the request's last byte was written (front), if known
 	Left    Kind = "left"    // the client stopped waiting, or its connection ended: ID, How (Unanswered for one that was read)
 	Call    Kind = "call"    // a call is whole at an endpoint: Call, IDs, Endpoint, Dest, Begun and Whole (front)
@@ -66,6 +66,9 @@
 // Lossy is the State of a fault under which a process may write what nobody gets to see.
 const Lossy = "lossy"
 
+// HalfClosed is the How of a handing-in whose client ends its sending behind the request.
+const HalfClosed = "half closed"
+
 // Unanswered is the How of a client's leaving whose request the relay had surely read when it ended the connection.
 const Unanswered = "read and closed with no answer"
 
--- a/internal/lab/platform/clients.go
+++ b/internal/lab/platform/clients.go
@@ -170,7 +170,11 @@
 	c.open[id] = m
 	c.mu.Unlock()
 	time.AfterFunc(left+10*time.Second, func() { c.forget(id) })
-	c.Record(history.Event{T: c.Clock.Now(), Kind: history.Hand, Relay: relay, ID: id, First: m.first, Class: m.class.Name, Tenant: m.tenant,
+	how := ""
+	if m.halfClosed {
+		how = history.HalfClosed
+	}
+	c.Record(history.Event{T: c.Clock.Now(), Kind: history.Hand, Relay: relay, ID: id, How: how, First: m.first, Class: m.class.Name, Tenant: m.tenant,
 		Dest: m.dest, Key: m.key, Left: left.Milliseconds(), Sum: Sum(append([]byte(m.key+"\n"), m.body...))})
 	return id
 }
--- a/internal/lab/rules/messages.go
+++ b/internal/lab/rules/messages.go
@@ -43,7 +43,9 @@
 		}
 	case e.Status == 429 || e.Status == 503:
 		m.refused, m.want.refused = true, true
-		p.counts["refused"].must.add(e.T)
+		if m.How != history.HalfClosed { // to its relay such a client has left, and what it wanted need not be counted
+			p.counts["refused"].must.add(e.T)
+		}
 		p.counts["refused"].may.add(e.T)
 		c.handedBack(m, e)
 	default:
