--- a/internal/lab/history/history.go
+++ b/internal/lab/history/history.go
@@ -33,9 +33,9 @@
 // written there the process can read.
 const (
 	Run     Kind = "run"     // the first event: Terms, Text is the scenario's name
-	Hand    Kind = "hand"    // a client's request is on its way: ID, First, Class, Tenant, Dest, Key, Left, Sum
-	Heard   Kind = "heard"   // its answer came: ID, Status, Wait
-	Left    Kind = "left"    // the client stopped waiting, or its connection ended: ID, How
+	Hand    Kind = "hand"    // a client's request is on its way: ID, First, Class, Tenant, Dest, Key, Left, Sum; How is HalfClosed or empty
+	Heard   Kind = "heard"   // its answer came: ID, Status, Wait; Whole is when the request's last byte was written (front), if known
+	Left    Kind = "left"    // the client stopped waiting, or its connection ended: ID, How (Unanswered for one that was read)
 	Call    Kind = "call"    // a call is whole at an endpoint: Call, IDs, Endpoint, Dest, Begun and Whole (front)
 	Bad     Kind = "bad"     // an endpoint was sent what no relay may send: Endpoint, Text
 	Ran     Kind = "ran"     // a call took effect: Call
@@ -55,7 +55,8 @@
 	Down    Kind = "down"    // an outage of a destination begins: Dest, How
 	Up      Kind = "up"      // and ends: Dest; it is cold from now on where Figures has "cold" seconds
 	Limit   Kind = "limit"   // a destination takes another rate: Dest, Figures has "rate"
-	Fell    Kind = "fell"    // a cold destination was pushed over: Dest, Figures is the load by relay in that span
+	Fell    Kind = "fell"    // a destination in slow start was pushed over: Dest, Figures has "allowed", the calls that its settings
+	// allow it in that span (N), "calls", those that it got, and how many of them came from each relay
 	// Stranger is a peer that sends what is no message, or nothing, and how it fared: Relay, Begun (its connection came
 	// up), How (what it sent), Status (0 for none), State is closed, answered or waits; Left is the time it allows.
 	Stranger Kind = "stranger"
@@ -65,6 +66,12 @@
 // Lossy is the State of a fault under which a process may write what nobody gets to see.
 const Lossy = "lossy"
 
+// HalfClosed is the How of a handing-in whose client ends its sending behind the request.
+const HalfClosed = "half closed"
+
+// Unanswered is the How of a client's leaving whose request the relay had surely read when it ended the connection.
+const Unanswered = "read and closed with no answer"
+
 // Unreadable is the How of an answer that is none under the protocol. Its Status is 0, or 200 where the first line of an
 // answer to one message still says so: then it is true.
 const Unreadable = "unreadable"
--- a/internal/lab/rules/processes.go
+++ b/internal/lab/rules/processes.go
@@ -32,17 +32,20 @@
 
 func (c *Checker) process(e history.Event) {
 	if e.How != "start" && e.How != "exit" { // a keeper's, too: who leads anew waits for a lease
-		c.troubled(e.T)
+		c.trouble = e.T
 	}
 	if !strings.HasPrefix(e.Proc, "relay/") {
 		return
 	}
 	p := c.proc(e.Proc)
 	c.looked(Process)
+	if e.How != "start" && e.How != "exit" {
+		c.delayOrphans(e.T)
+	}
 	switch e.How {
 	case "start":
 		p.starts++
-		p.lost = false
+		p.lost, p.crashed = false, false
 		if e.Text != "beside" {
 			p.waits = map[int][]span{} // a restart ends them
 		}
@@ -51,13 +54,6 @@
 		if p.starts > 1 || e.How == "cont" {
 			p.resumed = e.T
 		}
-		if e.How == "cont" && p.down > 0 {
-			for _, m := range c.msgs {
-				if m.Relay == e.Proc && m.taken == 0 && m.T <= e.T {
-					m.unread = e.T - max(m.T, p.down)
-				}
-			}
-		}
 		for _, told := range []map[string]int64{p.told, p.banned} {
 			for name, at := range told { // one that is stopped hears nothing until it goes on
 				if p.down > 0 && at >= p.down {
@@ -65,32 +61,34 @@
 				}
 			}
 		}
-		p.down, p.ready = 0, e.T
+		p.down = 0
+		if e.How == "cont" {
+			p.continued = e.T
+		} else {
+			p.ready = e.T
+		}
 	case "stop":
 		p.down = e.T
 	case "term", "kill":
+		if e.How == "kill" {
+			p.killed = e.T
+		}
 		if e.Text != "handed over" {
 			p.down = e.T
 		}
 	case "lose":
 		c.lost(e, p)
 	case "crash":
-		p.down = e.T
+		p.down, p.crashed = e.T, true
 		c.broken(Process, e.T, "", cmp.Or(e.Text, "it ended unasked"), []string{e.Proc}, e)
 	}
 }
 
+// fell judges a destination in slow start that got too much, whoever sent it.
 func (c *Checker) fell(e history.Event) {
 	c.looked(Cold)
-	var knew, all float64
-	for who, load := range e.Figures {
-		all += load
-		if strings.HasPrefix(who, "knew:") {
-			knew += load
-		}
-	}
-	if all > 0 && knew >= all*2/3 {
-		c.broken(Cold, e.T, "", fmt.Sprintf("destination %d, back and cold, was pushed over by relays that had seen it fail: %s", e.Dest, e.Text), nil, e)
+	if calls, allowed := e.Figures["calls"], e.Figures["allowed"]; calls > history.SlowStartMost(allowed) {
+		c.broken(Cold, e.T, "", fmt.Sprintf("destination %d, back and cold, was pushed over: %s", e.Dest, e.Text), nil, e)
 	}
 }
 
--- a/internal/lab/rules/rules.go
+++ b/internal/lab/rules/rules.go
@@ -17,14 +17,14 @@
 
 // The rules. Each says what must hold; times have the slack of the protocol's page.
 const (
-	End      Rule = "end"      // a message that was taken on has one end, in time
+	End      Rule = "end"      // a request that was read has its answer, a message that was taken on one end, in time
 	Once     Rule = "once"     // and only one
 	Twice    Rule = "twice"    // never two attempts of a message out at once
 	Repeat   Rule = "repeat"   // what may have run is repeated, or handed back, only as its class allows
 	Attempts Rule = "attempts" // no message has more than its attempts
 	Wait     Rule = "wait"     // nothing goes to a destination while a wait lasts that it told
 	Drain    Rule = "drain"    // nothing new goes to an endpoint that drains, is gone or out by hand
-	Cold     Rule = "cold"     // no cold destination is pushed over by those who knew
+	Cold     Rule = "cold"     // no cold destination gets more calls than it may in slow start
 	Own      Rule = "own"      // a call has what a client handed in, unchanged, at an endpoint of its destination
 	Figures  Rule = "figures"  // /metrics tells the truth
 	Process  Rule = "process"  // no process ends unasked or goes over a limit
@@ -168,12 +168,7 @@
 	case history.Heard:
 		c.heard(e)
 	case history.Left:
-		if m := c.msgs[e.ID]; m != nil {
-			m.left, m.lines = true, append(m.lines, e)
-			for _, name := range []string{"refused", "failed"} { // the relay may count it, though nobody hears its answer
-				c.proc(e.Relay).counts[name].may.add(e.T)
-			}
-		}
+		c.hungUp(e)
 	case history.Call:
 		c.call(e)
 	case history.Answer, history.Gone:
@@ -203,7 +198,7 @@
 	case history.Fault:
 		c.lossy = c.lossy || e.State == history.Lossy
 		if c.lossy {
-			c.troubled(e.T)
+			c.trouble = e.T
 		}
 	case history.Limit:
 		c.report.limit(e.Dest, e.T, e.Figures["rate"])
@@ -216,6 +211,8 @@
 		c.figures(e)
 	case history.Sample:
 		c.sample(e)
+	case history.Up:
+		c.looked(Cold)
 	case history.Fell:
 		c.fell(e)
 	case history.Stranger:
