--- a/choice/health.go
+++ b/choice/health.go
@@ -106,8 +106,8 @@
 	if c.now-u.cutAt >= time.Second && !c.thin(u) {
 		// Over at least the even share of a call, or the refused call alone counts as more than its share.
 		span := min(max(time.Second, c.even(u)), c.set.Rules.Cold)
-		own := c.sent(u.sends, span) / span.Seconds()
-		u.limit = max(min(cmp.Or(u.limit, own), own)*cut, 1/c.set.Rules.Cold.Seconds(), u.listed/float64(c.set.Fleet)/2)
+		pace := min(cmp.Or(u.limit, math.Inf(1)), c.sent(u.sends, span)/span.Seconds())
+		u.limit = max(pace*cut, 1/c.set.Rules.Cold.Seconds(), u.listed/float64(c.set.Fleet)/2)
 		u.cutAt, u.tokens = c.now, min(u.tokens, 0)
 	}
 }
