choice: a known red test of a short outage in the ramp of many relays

A relay that meets one failure of an outage in the ramp takes it for a stray error and goes on with the ramp before. To begin the ramp anew at any single failure would cost wherever connections fail by chance; that is not measured, so nothing is changed here.

--- a/choice/outage_test.go
+++ b/choice/outage_test.go
@@ -75,3 +75,14 @@
 		}
 	}
 }
+
+// Guards against the calls of several relays to a destination that is out again for a second in its ramp. One failure is no
+// outage to a relay that met no more of it, so it goes on with the ramp before: known red.
+func TestShortOutageInTheRampOfManyRelays(t *testing.T) {
+	for _, fleet := range []int{6, 20} {
+		p := slowStart{fleet: fleet, rate: 40, load: 1.5, again: 3 * time.Second, outAgain: time.Second}
+		if got, most := p.play(t).worst(); got > most || got == 0 {
+			t.Errorf("%d relays: %.0f calls in a window of %.1f", fleet, got, most)
+		}
+	}
+}
