relay: a call ends with its message's time, whenever it begins

A call of one message got the time that was left at its step, counted from when its goroutine ran: what the rest of the step and the wait for a core took came on top, and the end of its message was late by that. It is now bounded by the message's own time, and counted from when the loop began it, as members of a shared call were.

TestACallEndsWithItsMessagesTime: an hour in place of a minute, and a call sent after its time, without the change.

--- a/internal/relay/call_test.go
+++ b/internal/relay/call_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -99,3 +100,25 @@
 		want(t, fmt.Sprintf("end after %q", body), batchEnds([]byte(body), []string{"a"})[0], end{outcome: outcome})
 	}
 }
+
+// Guards against a call that outlasts its message's time by as long as it waited to begin: for the rest of the step, and for a
+// core.
+func TestACallEndsWithItsMessagesTime(t *testing.T) {
+	var got atomic.Int32
+	s := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { got.Add(1) }))
+	defer s.Close()
+	r := caller()
+	r.inbox, r.calls = make(chan func(), 1), context.Background()
+	c := &call{host: &host{addr: s.Listener.Addr().String(), waiting: &waiting{}}, sends: []choice.Send{{ID: "m1", Timeout: time.Hour}},
+		members: []*message{{Entry: &journal.Entry{ID: "m1"}, due: time.Minute}}}
+	r.start(c)
+	wait(t, r.inbox, "result")()
+	if c.timeout > time.Minute {
+		t.Errorf("it has %v, and its message a minute", c.timeout)
+	}
+	want(t, "calls", got.Load(), 1)
+	late := oneCall(s.Listener.Addr().String(), "x")
+	late.began = time.Now().Add(-late.timeout)
+	want(t, "outcome of one that begins as its time is up", outcome(r, context.Background(), late), choice.NoConnection)
+	want(t, "calls", got.Load(), 1)
+}
--- a/internal/relay/calls.go
+++ b/internal/relay/calls.go
@@ -54,6 +54,7 @@
 		}
 	}
 	if len(c.members) == 1 {
+		c.timeout = min(c.timeout, c.members[0].due-now) // the step that decided it may be a while ago
 		c.body, c.key = c.members[0].Body, c.members[0].Key
 	} else {
 		c.body = make([]byte, 0, c.size)
@@ -100,7 +101,11 @@
 // exchange makes one call and tells each member's end. The time it took is taken here, so
 // that no delay of the loop is learnt as latency.
 func (r *Relay) exchange(ctx context.Context, c *call, ids []string) (ends []end, t told) {
-	ctx, stop := context.WithTimeoutCause(ctx, c.timeout, errTimeout)
+	left := c.timeout
+	if !c.began.IsZero() { // this goroutine may have waited for a core since
+		left -= time.Since(c.began)
+	}
+	ctx, stop := context.WithTimeoutCause(ctx, left, errTimeout)
 	defer stop()
 	all := func(o choice.Outcome) []end {
 		ends := make([]end, len(ids))
