--- a/internal/relay/restart_states_test.go
+++ b/internal/relay/restart_states_test.go
@@ -33,21 +33,22 @@
 // before the start, during it or just after, and if the next restart comes before the first step, or before its notice is told.
 func TestEachMessageEndsOnceAcrossRestarts(t *testing.T) {
 	const margin = 10 * time.Millisecond // entries have whole milliseconds
+	p := newPlatform(t, leavingHost())
 	for when, left := range map[string]time.Duration{"before the start": -time.Second, "during it": 2 * time.Second, "after it": 5 * time.Second} {
 		for _, c := range restartCases(time.Now().Add(-time.Second).UnixMilli()) {
 			for class, status := range c.status {
 				for restarts := range 3 {
 					t.Run(fmt.Sprintf("%s, %s, %s, %d further", c.name, when, class, restarts), func(t *testing.T) {
-						p, due := newPlatform(t, leavingHost()), time.Now().Add(left)
+						due := time.Now().Add(left)
 						folder := folderWith(t, append([]journal.Record{{Op: journal.OpTaken, Entry: &journal.Entry{ID: "m1", Class: class, Dest: 7,
 							Due: due.UnixMilli()}}}, c.recs...)...)
 						r := unserved(t, p, folder)
 						if restarts > 0 { // before the first step
-							r = reopened(t, r, folder)
+							r = reopened(t, p, r, folder)
 						}
 						if restarts > 1 { // after it, with whatever it owes
 							r.step()
-							r = reopened(t, r, folder)
+							r = reopened(t, p, r, folder)
 						}
 						later(r, 3*time.Second) // the process has no core
 						r.step()
@@ -64,7 +65,7 @@
 						want(t, "messages on record", r.journal.Len(), 1)
 						r.record(journal.Record{Op: journal.OpEnd, ID: "m1"}) // the platform has taken it
 						r.step()
-						r = reopened(t, r, folder)
+						r = reopened(t, p, r, folder)
 						r.step()
 						want(t, "messages on record, at last", r.journal.Len(), 0)
 						want(t, "notices, at last", len(r.notices), 0)
--- a/internal/relay/withdraw_test.go
+++ b/internal/relay/withdraw_test.go
@@ -111,7 +111,8 @@
 	} {
 		t.Run(c.when, func(t *testing.T) {
 			state := t.TempDir()
-			r := unserved(t, newPlatform(t, leavingHost()), state)
+			p := newPlatform(t, leavingHost())
+			r := unserved(t, p, state)
 			var two *intake
 			at := func(f func(r *Relay) *intake) {
 				if f != nil {
@@ -136,18 +137,18 @@
 			want(t, "status on the first", w.Code, c.one)
 			want(t, "status on the second", status(two), c.two)
 			want(t, "messages held", len(r.held), 1)
-			next := reopened(t, r, state)
+			next := reopened(t, p, r, state)
 			want(t, "messages held after a kill", len(next.held), 1)
 		})
 	}
 }
 
 // reopened is the next process, after a kill of this one.
-func reopened(t *testing.T, r *Relay, state string) *Relay {
+func reopened(t *testing.T, p *platform, r *Relay, state string) *Relay {
 	t.Helper()
 	r.endCalls(errStopping)
 	r.journal.Close()
-	return unserved(t, newPlatform(t, leavingHost()), state)
+	return unserved(t, p, state)
 }
 
 // Guards against 503 on a second connection, whose client has ended its sending, for a message that the first one was told is
