relay: the stop takes its queue and its connections for done only on stronger signs

TestWhoWaitsInTheQueueIsAnswered failed once in 50 runs with -race: tries to accept that took 1 ms three times in a row closed the listener over its queue. TestNothingReadIsLostUnderLoad lost one request in 30 runs: after 0.25 s the connections that had not come to rest yet were closed from outside.

Change: tries that run out have 20 ms; those that wait for their connection count from 5 ms, ten in a row. All connections that this side has not ended, and the queue, have as long as answers under way.

--- a/internal/relay/draining.go
+++ b/internal/relay/draining.go
@@ -13,12 +13,14 @@
 
 const (
 	// queueTick bounds a try to accept while the queue is emptied.
-	queueTick = 10 * time.Millisecond
-	// queueTicks is how many tries in a row have to find the queue empty: one may have run out before it asked the system,
-	// in a process that got no core.
+	queueTick = 20 * time.Millisecond
+	// queueTicks is how many tries in a row have to run out: one may have done so before it asked the system, in a process
+	// that got no core.
 	queueTicks = 3
-	// queueWait is how long a try takes at least for a connection that was not in the queue before it.
-	queueWait = time.Millisecond
+	// queueWait is how long a try takes at least for a connection that was not in the queue before it, and queueWaits how
+	// many tries in a row have to take so long: with no core, one may do so over a queue that is not empty.
+	queueWait  = 5 * time.Millisecond
+	queueWaits = 10
 	// freshPeer is how long a connection that has just come may be without a request: clients wait 400 ms for their answer.
 	freshPeer = 400 * time.Millisecond
 	// emptyIn is how long connections may take to end once nothing more is decided.
@@ -57,8 +59,8 @@
 	}
 }
 
-// foundNothing tells whether a try to accept ran out. After some that found the queue empty the listener is closed; those
-// count, too, that had to wait for their connection, so that new ones do not go on for ever.
+// foundNothing tells whether a try to accept ran out. After some in a row the listener is closed; those count, too, that had
+// to wait for their connection, so that new ones do not go on for ever.
 func (p *peers) foundNothing(err error) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -67,13 +69,17 @@
 	case errors.Is(err, net.ErrClosed):
 		p.accepted = true
 	case !p.stopping || p.accepted:
-	case !ranOut && time.Since(p.tried) < queueWait:
-		p.vain = 0
+	case ranOut:
+		p.ranOut++
 	default:
-		if p.vain++; p.vain >= queueTicks {
-			p.closeListener()
+		p.ranOut = 0
+		if p.waited++; time.Since(p.tried) < queueWait {
+			p.waited = 0
 		}
 	}
+	if !p.accepted && (p.ranOut >= queueTicks || p.waited >= queueWaits) {
+		p.closeListener()
+	}
 	return ranOut
 }
 
@@ -119,34 +125,33 @@
 }
 
 // awaited tells whether the process stays for a connection, or for the listener's queue: answers go out as long as the stop
-// lasts; all else has emptyIn.
+// lasts; what waits for its other side has emptyIn.
 func (p *peers) awaited(begin time.Time, accepted bool) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	early := time.Since(begin) < emptyIn
-	if !early && time.Now().After(p.answerBy) {
+	if time.Since(begin) >= emptyIn && time.Now().After(p.answerBy) {
 		return false
 	}
-	if early && (!accepted || len(p.open) > p.left) {
+	if !accepted {
 		return true
 	}
 	for c := range p.open {
-		if c.answering() || c.left && time.Since(c.since) < emptyIn {
+		if !c.left || c.refusing() || time.Since(c.since) < emptyIn {
 			return true
 		}
 	}
 	return false
 }
 
-// answering tells whether an answer is on its way from the server or from this side. The mutex is held.
-func (c *peer) answering() bool {
-	if !c.left {
-		return c.active
+// refusing tells whether a refusal is on its way. The mutex is held.
+func (c *peer) refusing() bool {
+	if c.refused == nil || c.begun.IsZero() {
+		return false
 	}
 	select {
 	case <-c.refused:
 		return false
 	default:
-		return c.refused != nil
+		return true
 	}
 }
--- a/internal/relay/ending.go
+++ b/internal/relay/ending.go
@@ -156,6 +156,9 @@
 	p.trim()
 	go func() {
 		if n, _ := c.Conn.Read(make([]byte, 4<<10)); n > 0 {
+			p.mu.Lock()
+			c.begun = time.Now()
+			p.mu.Unlock()
 			c.refuse()
 		} else {
 			close(c.refused)
--- a/internal/relay/peers.go
+++ b/internal/relay/peers.go
@@ -30,7 +30,8 @@
 
 	stopping bool      // the listener closes once its queue is empty
 	tried    time.Time // the last try to accept began
-	vain     int       // tries in a row that found the queue empty
+	ranOut   int       // tries in a row that did
+	waited   int       // tries in a row that had to wait for their connection
 	accepted bool      // the listener has been closed
 	answerBy time.Time // until then answers under way may go out as the process ends
 
