relay: notices don't wait for slow answers to those before them

Cause: three batches of notices could be under way, each until its answer.

Change: seven batches, the next one the later the more are under way; of them two have a second attempt, so there are nine connections at most as before.

Result: TestNoticesDoNotWaitForSlowAnswers has each notice read within 350 ms with answers of 300 to 950 ms.

--- a/internal/relay/descriptors.go
+++ b/internal/relay/descriptors.go
@@ -12,9 +12,9 @@
 // leave enough for endpoints, discovery, notices, the journal, the second address and the next process.
 
 const (
-	// Standard streams, the poller, listeners, journal and its copy, discovery, hand-over; and notices, of whose attempts one of
-	// each batch may be on its way out.
-	ownDescriptors   = 15 + noticeBatches*(noticeTries+1)
+	// Standard streams, the poller, listeners, journal and its copy, discovery, hand-over; and notices, whose second attempts
+	// may have one more on its way out.
+	ownDescriptors   = 15 + noticeBatches + 2*noticeHedges
 	fleetDescriptors = 24 // keepers, holders, their streams and folders
 )
 
--- a/internal/relay/notice_delivery.go
+++ b/internal/relay/notice_delivery.go
@@ -20,8 +20,6 @@
 	noticeRetry = 80 * time.Millisecond
 	// noticeBackoff is the pause after the first attempt that failed. It doubles with each failure, up to noticeRetry.
 	noticeBackoff = 10 * time.Millisecond
-	// noticeTries bounds the attempts at a batch that wait for an answer at once.
-	noticeTries = 3
 	// noticeIn bounds one attempt.
 	noticeIn = time.Second
 )
@@ -40,7 +38,8 @@
 	sender   *noticeSender
 	batch    noticeBatch
 	addr     string
-	running  []*attempt // oldest first
+	running  []*attempt // oldest first; a second one only with a hedge
+	hedged   bool       // holds one of the sender's hedges
 	ended    chan *attempt
 	next     *time.Timer // starts the next attempt
 	nextAt   time.Time
@@ -54,6 +53,7 @@
 	addr, valid := s.platform.Get()
 	d := &delivery{sender: s, batch: batch, addr: addr, ended: make(chan *attempt), next: time.NewTimer(noticeRetry)}
 	defer d.next.Stop()
+	defer d.endHedge()
 	d.start(ctx)
 	for {
 		select {
@@ -64,8 +64,11 @@
 			d.addr, valid = s.platform.Get()
 			d.restart(ctx)
 		case <-d.next.C:
-			d.makeRoom()
-			d.restart(ctx)
+			if d.makeRoom() {
+				d.restart(ctx)
+			} else {
+				d.scheduleNext(noticeRetry)
+			}
 		case a := <-d.ended:
 			if a.err == nil {
 				return nil
@@ -102,19 +105,42 @@
 	d.next.Reset(after)
 }
 
-// makeRoom gives up an attempt if there are as many as may be. The oldest is kept until its own limit, for the platform may
-// only be slow.
-func (d *delivery) makeRoom() {
-	if len(d.running) < noticeTries {
-		return
+// makeRoom tells whether one more attempt may start, and gives up the second one for it. The oldest is kept until its own
+// limit, for the platform may only be slow.
+func (d *delivery) makeRoom() bool {
+	switch len(d.running) {
+	case 0:
+		return true
+	case 1:
+		return d.hedge()
 	}
 	second := d.running[1]
-	d.running = slices.Delete(d.running, 1, 2)
+	d.running = d.running[:1]
 	second.cancel()
 	d.warn(errUnanswered)
+	return true
+}
+
+// hedge tells whether this batch may have a second attempt beside the first.
+func (d *delivery) hedge() bool {
+	select {
+	case d.sender.hedges <- struct{}{}:
+		d.hedged = true
+	default:
+	}
+	return d.hedged
+}
+
+// endHedge gives the hedge back, if this batch has one.
+func (d *delivery) endHedge() {
+	if d.hedged {
+		<-d.sender.hedges
+		d.hedged = false
+	}
 }
 
 func (d *delivery) giveUpAll() {
+	d.endHedge()
 	for _, a := range d.running {
 		a.cancel()
 	}
@@ -128,6 +154,7 @@
 		return
 	}
 	d.running = slices.Delete(d.running, i, i+1)
+	d.endHedge()
 	pause := min(noticeBackoff<<min(d.failures, 8), noticeRetry)
 	if time.Now().Add(pause).Before(d.nextAt) {
 		d.scheduleNext(pause)
--- a/internal/relay/notice_sender.go
+++ b/internal/relay/notice_sender.go
@@ -16,10 +16,13 @@
 
 const (
 	// noticeTurn is how long a batch is alone under way. The next one then starts beside it, on a connection of its own: where
-	// the platform answers at once, all go one after the other on a single kept connection.
+	// the platform answers at once, all go one after the other on a single kept connection. The more are under way, the longer
+	// the next one waits, so that a platform which takes up to a second for each answer still gets one in a third of a second.
 	noticeTurn = 50 * time.Millisecond
-	// noticeBatches bounds the batches under way, and with noticeTries the connections.
-	noticeBatches = 3
+	// noticeBatches bounds the batches under way, noticeHedges those of them that have a second attempt running: together they
+	// bound the connections.
+	noticeBatches = 7
+	noticeHedges  = 2
 )
 
 // noticeSender sends queued notices to the platform, in batches, until it has accepted them. Whoever queues notices never
@@ -30,13 +33,17 @@
 	conns    *http.Transport
 	accepted func([]notice) // is called, by any goroutine, with what the platform has accepted
 
+	slots  chan struct{} // a value for each batch under way
+	hedges chan struct{} // a value for each batch with a second attempt
+
 	mu      sync.Mutex
 	queue   []notice
 	arrived chan struct{} // holds a value once something is queued
 }
 
 func newNoticeSender(platform *discovery.At, dial dialFunc, accepted func([]notice)) *noticeSender {
-	s := &noticeSender{platform: platform, accepted: accepted, arrived: make(chan struct{}, 1)}
+	s := &noticeSender{platform: platform, accepted: accepted, arrived: make(chan struct{}, 1),
+		slots: make(chan struct{}, noticeBatches), hedges: make(chan struct{}, noticeHedges)}
 	s.conns = &http.Transport{DisableCompression: true, IdleConnTimeout: idleIn, MaxIdleConnsPerHost: 1,
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 			return dial(attemptOf(ctx), network, addr)
@@ -60,7 +67,6 @@
 	var deliveries sync.WaitGroup
 	defer s.conns.CloseIdleConnections()
 	defer deliveries.Wait()
-	slots := make(chan struct{}, noticeBatches)
 	for ctx.Err() == nil {
 		batch := s.nextBatch()
 		if len(batch.notices) == 0 {
@@ -71,7 +77,7 @@
 			continue
 		}
 		select {
-		case slots <- struct{}{}:
+		case s.slots <- struct{}{}:
 		case <-ctx.Done():
 			return
 		}
@@ -80,12 +86,12 @@
 			if err := s.deliver(ctx, batch); err == nil {
 				s.accepted(batch.notices)
 			}
-			<-slots
+			<-s.slots
 			close(done)
 		})
 		select {
 		case <-done:
-		case <-time.After(noticeTurn):
+		case <-time.After(time.Duration(max(1, len(s.slots)-1)) * noticeTurn):
 		case <-ctx.Done():
 		}
 	}
--- a/internal/relay/notices_test.go
+++ b/internal/relay/notices_test.go
@@ -59,6 +59,29 @@
 	})
 }
 
+// Guards against notices that wait for the answers to those before them where each answer takes most of a second: the platform
+// has taken what it has read.
+func TestNoticesDoNotWaitForSlowAnswers(t *testing.T) {
+	for _, slow := range []time.Duration{300 * time.Millisecond, 700 * time.Millisecond, 950 * time.Millisecond} {
+		p := &memoryPlatform{react: func(_, _ int, _ time.Duration) reaction { return reaction{after: slow} }}
+		inNoticeRig(t, p, func(g *noticeRig) {
+			const notices, apart, limit = 300, 13 * time.Millisecond, 350 * time.Millisecond
+			ids := idsOf(notices)
+			for _, id := range ids {
+				g.end(id)
+				time.Sleep(apart)
+			}
+			g.takenBy(p, notices*apart+limit+2*slow, ids...)
+			for i, id := range ids {
+				ended := time.Duration(i) * apart
+				if read, ok := p.read[id]; !ok || read-ended > limit {
+					t.Errorf("answers after %v: notice %d read %v after it was queued", slow, i, read-ended)
+				}
+			}
+		})
+	}
+}
+
 // Guards against a notice that goes long after the platform can take it again; and against sockets, goroutines and memory
 // without bound, and a loop that stands still, while it cannot.
 func TestNoticesGoOnceThePlatformIsBack(t *testing.T) {
