lab: a keeper that ends delays the ends of what a lost machine held

Cause: the tightened rule gave a lost machine's messages more time only for ends and starts of relays. A message whose machine is not lost has no more time for it, as before.

Test: the first case of TestAKeeperThatEndsDelaysWhatALostMachineHeld fails without the change.

--- a/internal/lab/rules/estates.go
+++ b/internal/lab/rules/estates.go
@@ -31,8 +31,8 @@
 // takeOver is how long it may take, in microseconds; 0 where nobody takes over.
 func (c *Checker) takeOver() int64 { return c.terms.TakeOver.Microseconds() }
 
-// delayOrphans notes that a relay ended, stopped or went on, which may be the one that takes up a lost machine's messages: their
-// ends that are not overdue yet may come as much later as that takes. No other message has more time for it.
+// delayOrphans notes that a relay or a keeper ended, stopped or went on, without which a lost machine's messages may not be taken
+// up: their ends that are not overdue yet may come as much later as that takes. No other message has more time for it.
 func (c *Checker) delayOrphans(at int64) {
 	over := c.takeOver()
 	if over == 0 {
--- a/internal/lab/rules/estates_test.go
+++ b/internal/lab/rules/estates_test.go
@@ -94,3 +94,40 @@
 		}
 	}
 }
+
+// A lost machine's messages wait for an heir, whom only keepers can name: a keeper that is killed meanwhile gives them more time.
+func TestAKeeperThatEndsDelaysWhatALostMachineHeld(t *testing.T) {
+	for name, c := range map[string]struct {
+		killed int64
+		told   int64
+		broken int
+	}{
+		"a keeper is killed, and the end is in time":   {3e6, 6900e3, 0},
+		"a keeper is killed, and the end is late":      {3e6, 7100e3, 1},
+		"no keeper is killed, and the end is in time":  {0, 5400e3, 0},
+		"no keeper is killed, and the end is late":     {0, 5600e3, 1},
+		"the keeper is killed once the end is overdue": {5600e3, 9000e3, 1},
+	} {
+		checker := New()
+		checker.See(history.Event{Kind: history.Run, Terms: &history.Terms{MaxAttempts: 8, TakeOver: 4 * time.Second, DrainGrace: time.Second, AskWithin: time.Minute,
+			Classes: []history.Class{{Name: "k", Effect: "deduplicated", Window: 15 * time.Second, Aim: time.Second, Deadline: 2 * time.Second, Worth: 1}}}})
+		for _, p := range []string{"relay/0", "relay/1"} {
+			checker.See(history.Event{Kind: history.Proc, Proc: p, How: "start"})
+			checker.See(history.Event{Kind: history.Proc, Proc: p, How: "ready"})
+		}
+		events := []history.Event{
+			{T: 2e5, Kind: history.Hand, Relay: "relay/0", ID: "m", First: "m", Class: "k", Left: 2000},
+			{T: 21e4, Kind: history.Heard, Relay: "relay/0", ID: "m", Status: 202},
+			{T: 15e5, Kind: history.Proc, Proc: "relay/0", How: "lose", Text: "for good"}}
+		if c.killed > 0 {
+			events = append(events, history.Event{T: c.killed, Kind: history.Proc, Proc: "keeper/0", How: "kill"})
+		}
+		events = append(events, history.Event{T: c.told, Kind: history.Notice, Relay: "relay/1", ID: "m", How: "deferred"}, history.Event{T: 60e6, Kind: history.End})
+		for _, e := range events {
+			checker.See(e)
+		}
+		if r := checker.Close(); r.Broken[End] != c.broken {
+			t.Errorf("%s: %d ends are broken, want %d", name, r.Broken[End], c.broken)
+		}
+	}
+}
