--- a/internal/lab/rules/estates_test.go
+++ b/internal/lab/rules/estates_test.go
@@ -74,13 +74,7 @@
 			at     int64
 			broken int
 		}{{2540e3, 0}, {2560e3, 1}} { // its time is up at 2.2 s
-			c := New()
-			c.See(history.Event{Kind: history.Run, Terms: &history.Terms{MaxAttempts: 8, TakeOver: 4 * time.Second, DrainGrace: time.Second, AskWithin: time.Minute,
-				Classes: []history.Class{{Name: "k", Effect: "deduplicated", Window: 15 * time.Second, Aim: time.Second, Deadline: 2 * time.Second, Worth: 1}}}})
-			for _, p := range []string{"relay/0", "relay/1"} {
-				c.See(history.Event{Kind: history.Proc, Proc: p, How: "start"})
-				c.See(history.Event{Kind: history.Proc, Proc: p, How: "ready"})
-			}
+			c := checkerOfTwoRelays()
 			for _, e := range []history.Event{
 				{T: 2e5, Kind: history.Hand, Relay: "relay/0", ID: "m", First: "m", Class: "k", Left: 2000},
 				{T: 21e4, Kind: history.Heard, Relay: "relay/0", ID: "m", Status: 202}, trouble,
@@ -108,13 +102,7 @@
 		"no keeper is killed, and the end is late":     {0, 5600e3, 1},
 		"the keeper is killed once the end is overdue": {5600e3, 9000e3, 1},
 	} {
-		checker := New()
-		checker.See(history.Event{Kind: history.Run, Terms: &history.Terms{MaxAttempts: 8, TakeOver: 4 * time.Second, DrainGrace: time.Second, AskWithin: time.Minute,
-			Classes: []history.Class{{Name: "k", Effect: "deduplicated", Window: 15 * time.Second, Aim: time.Second, Deadline: 2 * time.Second, Worth: 1}}}})
-		for _, p := range []string{"relay/0", "relay/1"} {
-			checker.See(history.Event{Kind: history.Proc, Proc: p, How: "start"})
-			checker.See(history.Event{Kind: history.Proc, Proc: p, How: "ready"})
-		}
+		checker := checkerOfTwoRelays()
 		events := []history.Event{
 			{T: 2e5, Kind: history.Hand, Relay: "relay/0", ID: "m", First: "m", Class: "k", Left: 2000},
 			{T: 21e4, Kind: history.Heard, Relay: "relay/0", ID: "m", Status: 202},
@@ -131,3 +119,15 @@
 		}
 	}
 }
+
+// checkerOfTwoRelays has seen two relays get ready, of which each takes over from the other within 4 s.
+func checkerOfTwoRelays() *Checker {
+	c := New()
+	c.See(history.Event{Kind: history.Run, Terms: &history.Terms{MaxAttempts: 8, TakeOver: 4 * time.Second, DrainGrace: time.Second, AskWithin: time.Minute,
+		Classes: []history.Class{{Name: "k", Effect: "deduplicated", Window: 15 * time.Second, Aim: time.Second, Deadline: 2 * time.Second, Worth: 1}}}})
+	for _, p := range []string{"relay/0", "relay/1"} {
+		c.See(history.Event{Kind: history.Proc, Proc: p, How: "start"})
+		c.See(history.Event{Kind: history.Proc, Proc: p, How: "ready"})
+	}
+	return c
+}
