relay: the margin of an end and the arrival of a request under names of their own

lastLook was a method and a constant of another length; the full margin was had by a made-up lifetime; unread told a time. No behaviour changes.

--- a/internal/relay/delay.go
+++ b/internal/relay/delay.go
@@ -65,20 +65,23 @@
 	}
 }
 
-// endMargin is how long before its time is up a message has to be over, so that its notice comes in time. Its whole time
-// is its lifetime.
+// longestEndMargin is how long before its time is up a message with much time has to be over, so that its notice comes in time.
+func (r *Relay) longestEndMargin() time.Duration {
+	return min(max(endMarginLeast, delaysToEnd*r.delays.longest(r.now())), endMarginMost)
+}
+
+// endMargin is the same for a message of a lifetime, its whole time.
 func (r *Relay) endMargin(lifetime time.Duration) time.Duration {
-	margin := max(endMarginLeast, delaysToEnd*r.delays.longest(r.now()))
-	return min(margin, endMarginMost, max(0, lifetime/marginShare))
+	return min(r.longestEndMargin(), max(0, lifetime/marginShare))
 }
 
 // lastLook is how long before its time is up a message that waits is ended at the latest.
 func (r *Relay) lastLook() time.Duration {
-	return r.chooser.LastLook() + r.endMargin(marginShare*endMarginMost)
+	return r.chooser.LastLook() + r.longestEndMargin()
 }
 
-// unread is how long ago the last bytes of a connection arrived, as the system knows it; 0 where it does not.
-func unread(conn net.Conn) time.Duration {
+// sinceArrival is how long ago the last bytes of a connection arrived, as the system knows it; 0 where it does not.
+func sinceArrival(conn net.Conn) time.Duration {
 	c, ok := conn.(syscall.Conn)
 	if !ok {
 		return 0
--- a/internal/relay/intake.go
+++ b/internal/relay/intake.go
@@ -40,7 +40,7 @@
 }
 
 func (r *Relay) serveAPI(w http.ResponseWriter, req *http.Request) {
-	came := r.now() - unread(connOf(req))
+	came := r.now() - sinceArrival(connOf(req))
 	in, status, err := r.read(w, req, came)
 	if err != nil {
 		r.leave(w)
--- a/internal/relay/takeup.go
+++ b/internal/relay/takeup.go
@@ -23,8 +23,8 @@
 	m := &message{Entry: e, due: r.now() + left}
 	r.held[e.ID] = m
 	// Its time may be up before that: then it ends by its class, without another try.
-	last := wait >= left-lastLook
-	time.AfterFunc(min(wait, max(0, left-lastLook)), func() {
+	last := wait >= left-takeUpMargin
+	time.AfterFunc(min(wait, max(0, left-takeUpMargin)), func() {
 		r.post(func() {
 			if r.held[e.ID] == m && !r.stopped && r.heir == nil {
 				delete(r.held, e.ID)
@@ -64,8 +64,8 @@
 	return e
 }
 
-// lastLook is how long before its time is up a message ends that another process may still have out.
-const lastLook = 100 * time.Millisecond
+// takeUpMargin is how long before its time is up a message ends that another process may still have out.
+const takeUpMargin = 100 * time.Millisecond
 
 // toldWaits has the decisions hear of waits that the process before told of.
 func (r *Relay) toldWaits(recs []journal.Record) {
