choice: a refused connection in the ramp is an outage again

Cause: a relay that met one failure while a destination was in slow start went on with its ramp, for two of five make an outage; and an answer to a call from before the destination went down was taken for its return. Change: a connection refused in the ramp is an outage; an answer to a call sent before the last refused connection is no recovery.

--- a/choice/answers.go
+++ b/choice/answers.go
@@ -46,11 +46,10 @@
 		if e.Took <= d.table.edge {
 			d.backoff = 0
 		}
-		h.fails = 0
 		if d.refused > 0 {
 			*d.luck += (1 - *d.luck) / 16
 		}
-		d.refused = 0
+		h.fails, d.refused = 0, 0
 		c.served(u, d, e.Took)
 	case Refused:
 		if u.told && len(e.Report) == 0 && e.Wait <= 0 && c.few(u) {
@@ -71,6 +70,7 @@
 			}
 		}
 	case NoConnection:
+		u.downAt = c.now
 		d.table.cutShort()
 		c.failed(h, e.Outcome)
 	}
--- a/choice/health.go
+++ b/choice/health.go
@@ -20,8 +20,7 @@
 	}
 }
 
-// failed takes in a failure. It is held against the host alone while another of its unit is well: that
-// guards against the loss of one building, and of one machine among several.
+// failed takes in a failure: of its host alone, one machine or building, while another of its unit is well.
 func (c *Chooser) failed(h *host, o Outcome) {
 	u, d := h.unit, h.dest
 	h.fails++
@@ -33,7 +32,8 @@
 	c.bad(u)
 	u.risky, u.errors = u.risky || o != NoConnection, u.errors || o == Error
 	u.note(true)
-	alone := c.thin(u) && c.now-u.lastServed > c.set.Rules.Fall // nothing here speaks against an outage
+	// Nothing here speaks against an outage, or it refuses connections in its ramp: it went down again.
+	alone := c.thin(u) && c.now-u.lastServed > c.set.Rules.Fall || u.state == recovering && o == NoConnection
 	if u.state != suspect && (alone || bits.OnesCount(u.recent) >= outage) {
 		c.suspect(u, d, "failures")
 	}
@@ -119,8 +119,8 @@
 	u.served = u.served*math.Exp(-(c.now-u.lastServed).Seconds()/cold) + 1/cold
 	short := u.bad == 0 || !u.errors && c.now-u.lastServed < c.set.Rules.Fall
 	u.lastServed = c.now
-	if u.state == suspect && c.now+c.set.Rules.Fall < u.waitUntil {
-		return // sent before a wait longer than a limit's: it says nothing of what comes back after that
+	if u.state == suspect && (c.now-took < u.downAt || c.now+c.set.Rules.Fall < u.waitUntil) {
+		return // sent before it went down, or before a wait longer than a limit's: no news of what comes back
 	}
 	u.bad = 0
 	u.streak++
--- a/choice/memory.go
+++ b/choice/memory.go
@@ -56,7 +56,7 @@
 	Errors, Risky                             bool
 	Sends                                     []time.Duration
 	Pace, Served, Base, Listed, Limit, Tokens float64
-	Cut                                       time.Duration
+	Cut, Down                                 time.Duration
 }
 
 // HostMemory is what is known of an endpoint alone.
@@ -118,7 +118,8 @@
 			m.Units = append(m.Units, UnitMemory{Host: u.name, State: int(u.state), Since: now - u.since, Wait: u.waitUntil - now,
 				Pause: u.pauseUntil - now, Trial: u.trialAt - now, LastServed: now - u.lastServed, Recent: u.recent,
 				Streak: u.streak, Trials: u.trials, Bad: u.bad, Errors: u.errors, Risky: u.risky, Sends: ago(now, u.sends),
-				Pace: u.pace, Served: u.served, Base: u.base, Listed: u.listed, Limit: u.limit, Tokens: u.tokens, Cut: now - u.cutAt})
+				Pace: u.pace, Served: u.served, Base: u.base, Listed: u.listed, Limit: u.limit, Tokens: u.tokens, Cut: now - u.cutAt,
+				Down: now - u.downAt})
 		}
 		for _, h := range d.hosts {
 			m.Hosts = append(m.Hosts, HostMemory{h.Addr, h.fails, h.retryAt - now, h.liking, ago(now, h.sends)})
@@ -152,7 +153,7 @@
 			waitUntil: c.now + o.Wait, pauseUntil: c.now + o.Pause, recent: o.Recent, streak: o.Streak, errors: o.Errors,
 			risky: o.Risky, trialAt: c.now + o.Trial, trials: o.Trials, bad: o.Bad, lastServed: c.now - o.LastServed,
 			sends: ago(c.now, o.Sends), pace: o.Pace, served: o.Served, base: o.Base, limit: o.Limit, limitAt: c.now,
-			cutAt: c.now - o.Cut, tokens: o.Tokens}
+			cutAt: c.now - o.Cut, downAt: c.now - o.Down, tokens: o.Tokens}
 	}
 	for _, o := range m.Hosts {
 		if h := c.hosts[o.Host]; h != nil {
--- a/choice/outage_test.go
+++ b/choice/outage_test.go
@@ -76,8 +76,8 @@
 	}
 }
 
-// Guards against the calls of several relays to a destination that is out again for a second in its ramp. One failure is no
-// outage to a relay that met no more of it, so it goes on with the ramp before: known red.
+// Guards against relays that went on with their ramp after one refused connection, for that was no outage to those that met
+// no more of it: at the ramp's end, as they counted it, they sent all that waited.
 func TestShortOutageInTheRampOfManyRelays(t *testing.T) {
 	for _, fleet := range []int{6, 20} {
 		p := slowStart{fleet: fleet, rate: 40, load: 1.5, again: 3 * time.Second, outAgain: time.Second}
@@ -86,3 +86,29 @@
 		}
 	}
 }
+
+// Guards against an answer to a call from before a destination went down, which came after the first refused connection and
+// was taken for its return: the ramp began too early.
+func TestAnswerFromBeforeItWentDown(t *testing.T) {
+	r := newRig(t, settings(), ready("a", 1, 0, 0))
+	u := r.c.hosts["a"].unit
+	r.step(arrival("well", 0))
+	r.step(r.end("well", "a", Served))
+	u.state, u.since = recovering, r.now
+	sentBefore := sends(r.step(arrival("before", 0)))
+	r.now += 10 * ms
+	refused := sends(r.step(arrival("refused", 0)))
+	if len(sentBefore) != 1 || len(refused) != 1 {
+		t.Fatalf("%d and %d calls in the ramp, want one each", len(sentBefore), len(refused))
+	}
+	r.now += 10 * ms
+	r.step(r.end("refused", "a", NoConnection))
+	if u.state != suspect {
+		t.Fatalf("state %d after a refused connection in the ramp, want an outage", u.state)
+	}
+	r.now += 10 * ms
+	r.step(Result{ID: "before", Host: "a", Outcome: Served, Took: 30 * ms, Done: true})
+	if u.state != suspect {
+		t.Errorf("state %d by an answer from before, want the outage to last", u.state)
+	}
+}
--- a/choice/slowstart_rule_test.go
+++ b/choice/slowstart_rule_test.go
@@ -123,8 +123,11 @@
 // Guards against a destination that goes out again in its ramp, and is taken for well once it answers.
 func TestSlowStartTwice(t *testing.T) {
 	keepsToTheRule(t, map[string]slowStart{
-		"early in the ramp": {load: 1.5, again: 3 * time.Second, outAgain: 4 * time.Second},
-		"one restarts":      {load: 1.5, skew: 1, again: 5 * time.Second, outAgain: 4 * time.Second, restarted: 1},
+		"early in the ramp":  {load: 1.5, again: 3 * time.Second, outAgain: 4 * time.Second},
+		"late in the ramp":   {load: 1.5, again: 8 * time.Second, outAgain: 4 * time.Second},
+		"for a second":       {load: 1.5, again: 3 * time.Second, outAgain: time.Second},
+		"late, for a second": {load: 1.5, again: 8 * time.Second, outAgain: time.Second},
+		"one restarts":       {load: 1.5, skew: 1, again: 5 * time.Second, outAgain: 4 * time.Second, restarted: 1},
 	})
 }
 
--- a/choice/state.go
+++ b/choice/state.go
@@ -86,6 +86,7 @@
 	trialAt    time.Duration // next trial
 	trials     int           // trials failed in a row
 	bad        int           // failures and refusals since then
+	downAt     time.Duration // a connection to it was refused
 	lastServed time.Duration // or first listed
 	outs       []*call
 	sends      []time.Duration // in the last Fall or second
