relay: the notice of what was delivered after all is withdrawn while it is queued

Change: what waits for its turn stays in the sender's queue, from which a notice is withdrawn as such an answer comes; the message then counts as served. An end is counted as its notice leaves the queue. An answer that comes before the decisions have ended the member ends it as served.

--- a/internal/relay/calls_test.go
+++ b/internal/relay/calls_test.go
@@ -25,6 +25,7 @@
 	set.Workers = 7
 	r.hostSide.Store(newTransport(&set, 64, dialer(nil, set.DialTimeout).DialContext))
 	r.set.Store(&standing{})
+	r.notices = newNoticeSender(nil, nil, nil, nil)
 	return r
 }
 
--- a/internal/relay/copies_test.go
+++ b/internal/relay/copies_test.go
@@ -16,7 +16,7 @@
 func copier(t *testing.T, short string) (*Relay, *stream) {
 	t.Helper()
 	r := &Relay{began: time.Now().Add(-time.Minute), inbox: make(chan func(), 64), quit: make(chan struct{}),
-		books: books{journal: openJournal(t), held: map[string]*message{}, notices: newNoticeSender(nil, nil, nil),
+		books: books{journal: openJournal(t), held: map[string]*message{}, notices: newNoticeSender(nil, nil, nil, nil),
 			copies: &copying{conf: fleet.Config{Copies: 1, Short: short}, streams: map[uint64]*stream{}, begun: make(chan struct{}), client: http.DefaultClient}}}
 	r.kept = fleet.Open(t.TempDir(), "w", fleet.File{})
 	t.Cleanup(func() { close(r.quit) })
--- a/internal/relay/flush.go
+++ b/internal/relay/flush.go
@@ -75,11 +75,6 @@
 		r.owed -= len(notices)
 		return
 	}
-	for _, n := range notices {
-		if n.class != "" {
-			r.figures.ended(n.class, n.how())
-		}
-	}
 	r.notices.add(notices)
 }
 
--- a/internal/relay/notice_sender.go
+++ b/internal/relay/notice_sender.go
@@ -31,7 +31,8 @@
 type noticeSender struct {
 	platform *discovery.At
 	conns    *http.Transport
-	accepted func([]notice) // is called, by any goroutine, with what the platform has accepted
+	sending  func([]notice) // is called, by any goroutine, with what leaves the queue
+	accepted func([]notice) // likewise, with what the platform has accepted
 
 	slots  chan struct{} // a value for each batch under way
 	hedges chan struct{} // a value for each batch with a second attempt
@@ -41,8 +42,8 @@
 	arrived chan struct{} // holds a value once something is queued
 }
 
-func newNoticeSender(platform *discovery.At, dial dialFunc, accepted func([]notice)) *noticeSender {
-	s := &noticeSender{platform: platform, accepted: accepted, arrived: make(chan struct{}, 1),
+func newNoticeSender(platform *discovery.At, dial dialFunc, sending, accepted func([]notice)) *noticeSender {
+	s := &noticeSender{platform: platform, sending: sending, accepted: accepted, arrived: make(chan struct{}, 1),
 		slots: make(chan struct{}, noticeBatches), hedges: make(chan struct{}, noticeHedges)}
 	s.conns = &http.Transport{DisableCompression: true, IdleConnTimeout: idleIn, MaxIdleConnsPerHost: 1,
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
@@ -51,7 +52,7 @@
 	return s
 }
 
-// add queues notices. It does not block; what is queued is bounded by what the relay holds.
+// add queues notices. It waits for nobody's answer; what is queued is bounded by what the relay holds.
 func (s *noticeSender) add(notices []notice) {
 	s.mu.Lock()
 	s.queue = append(s.queue, notices...)
@@ -62,14 +63,29 @@
 	}
 }
 
-// run sends what is queued until the context ends.
+// withdraw takes a notice out of the queue, and tells whether it was still there.
+func (s *noticeSender) withdraw(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	queued := len(s.queue)
+	s.queue = slices.DeleteFunc(s.queue, func(n notice) bool { return n.ID == id })
+	return len(s.queue) < queued
+}
+
+// empty tells whether nothing is queued.
+func (s *noticeSender) empty() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.queue) == 0
+}
+
+// run sends what is queued until the context ends. What waits for its turn stays in the queue, where it can be withdrawn.
 func (s *noticeSender) run(ctx context.Context) {
 	var deliveries sync.WaitGroup
 	defer s.conns.CloseIdleConnections()
 	defer deliveries.Wait()
 	for ctx.Err() == nil {
-		batch := s.nextBatch()
-		if len(batch.notices) == 0 {
+		if s.empty() {
 			select {
 			case <-s.arrived:
 			case <-ctx.Done():
@@ -81,6 +97,12 @@
 		case <-ctx.Done():
 			return
 		}
+		batch := s.nextBatch()
+		if len(batch.notices) == 0 { // withdrawn
+			<-s.slots
+			continue
+		}
+		s.sending(batch.notices)
 		done := make(chan struct{})
 		deliveries.Go(func() {
 			if err := s.deliver(ctx, batch); err == nil {
@@ -106,13 +128,12 @@
 // nextBatch removes from the queue what one POST may hold, which may be nothing. Only run calls it.
 func (s *noticeSender) nextBatch() noticeBatch {
 	s.mu.Lock()
-	head := slices.Clone(s.queue[:min(len(s.queue), batchMost)])
-	s.mu.Unlock()
+	defer s.mu.Unlock()
 	var body bytes.Buffer
 	lines := json.NewEncoder(&body)
 	var batch noticeBatch
 	taken := 0
-	for _, n := range head {
+	for _, n := range s.queue[:min(len(s.queue), batchMost)] {
 		if err := lines.Encode(n); err != nil { // strings and numbers can be encoded; if not, the journal keeps it
 			slog.Error("notice not encoded", "id", n.ID, "err", err)
 			taken++
@@ -124,8 +145,6 @@
 		batch.notices, batch.body = append(batch.notices, n), body.Bytes()
 		taken++
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	if s.queue = s.queue[taken:]; len(s.queue) == 0 {
 		s.queue = nil
 	}
--- a/internal/relay/notices.go
+++ b/internal/relay/notices.go
@@ -26,6 +26,15 @@
 	return refusedEnd
 }
 
+// noticesSending counts the messages whose notices leave the queue: their ends are final now.
+func (r *Relay) noticesSending(batch []notice) {
+	for _, n := range batch {
+		if n.class != "" {
+			r.figures.ended(n.class, n.how())
+		}
+	}
+}
+
 // noticesAccepted records that notices are no longer owed: the platform has accepted them. If the loop ends first they stay
 // in the journal, and the next start sends them again, which does no harm.
 func (r *Relay) noticesAccepted(batch []notice) {
@@ -36,3 +45,17 @@
 		r.owed -= len(batch)
 	})
 }
+
+// servedLate takes in that a message was delivered by a call that outlasted the message's own time. Its notice is withdrawn
+// if it has not gone out yet: a client that is told of a failure takes what was delivered for lost.
+func (r *Relay) servedLate(m *message) {
+	if r.heir != nil {
+		return // its end is the next process's
+	}
+	m.served = true
+	if m.over && r.notices.withdraw(m.ID) {
+		r.owed--
+		r.figures.ended(m.Class, servedEnd)
+		r.record(journal.Record{Op: journal.OpEnd, ID: m.ID})
+	}
+}
--- a/internal/relay/notices_relay_test.go
+++ b/internal/relay/notices_relay_test.go
@@ -40,7 +40,7 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		var running sync.WaitGroup
 		running.Go(r.loop)
-		r.notices = newNoticeSender(r.platformAt, g.dial, r.noticesAccepted)
+		r.notices = newNoticeSender(r.platformAt, g.dial, r.noticesSending, r.noticesAccepted)
 		running.Go(func() { r.notices.run(ctx) })
 		defer func() {
 			r.stop()
--- a/internal/relay/notices_rig_test.go
+++ b/internal/relay/notices_rig_test.go
@@ -136,6 +136,13 @@
 	}
 }
 
+// timesTaken is how often notices of a message were answered 2xx.
+func (p *memoryPlatform) timesTaken(id string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.taken[id])
+}
+
 // idsIn are the ids of the notices in a body.
 func idsIn(body []byte) (ids []string) {
 	for lines := json.NewDecoder(bytes.NewReader(body)); ; {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -80,7 +80,7 @@
 	clients, kept := conf.parts(set.Workers)
 	r.hostSide.Store(newTransport(&set, kept, r.dial(set.DialTimeout)))
 	r.platform = &http.Client{Transport: &http.Transport{DisableCompression: true, IdleConnTimeout: idleIn, DialContext: r.dial(0)}}
-	r.notices = newNoticeSender(r.platformAt, r.dial(noticeIn), r.noticesAccepted)
+	r.notices = newNoticeSender(r.platformAt, r.dial(noticeIn), r.noticesSending, r.noticesAccepted)
 	r.list = &discovery.Platform{Client: r.platform, At: r.platformAt, Seed: conf.Seed, Known: conf.Known.Full, Version: conf.Known.Version,
 		Fleet: func() discovery.Fleet {
 			set := r.set.Load()
--- a/internal/relay/step.go
+++ b/internal/relay/step.go
@@ -120,6 +120,8 @@
 	case m == nil:
 	case m.fresh != nil:
 		r.refuse(m, after)
+	case m.served:
+		r.finish(m, servedEnd)
 	default:
 		r.give(m, notice{ID: id, Status: status, Again: after.Milliseconds()})
 	}
@@ -195,8 +197,11 @@
 
 // ended takes in what became of one message's attempt.
 func (r *Relay) ended(c *call, m *message, e end, t told) {
-	if m.call != c {
-		return // its own time was up before the call's
+	if m.call != c { // its own time was up before the call's
+		if e.outcome == choice.Served {
+			r.servedLate(m)
+		}
+		return
 	}
 	m.call = nil
 	if r.heir != nil {
@@ -210,8 +215,12 @@
 	r.events = append(r.events, choice.Result{ID: m.ID, Host: c.host.id, Outcome: e.outcome, Took: t.took, Wait: t.wait,
 		Stale: t.stale, Report: r.reportOf(t), Done: e.done || e.outcome == choice.Served})
 	if m.over {
-		if m.gone && e.outcome == choice.Served { // delivered from here all the same; the other finds out by its own call
+		switch {
+		case e.outcome != choice.Served:
+		case m.gone: // delivered from here all the same; the other finds out by its own call
 			r.figures.ended(m.Class, servedEnd)
+		default:
+			r.servedLate(m)
 		}
 		return
 	}
@@ -220,12 +229,17 @@
 		if e.outcome != choice.Served { // over at the host: out of time
 			how = failedEnd
 		}
-		r.figures.ended(m.Class, how)
-		r.record(journal.Record{Op: journal.OpEnd, ID: m.ID})
-		m.served = how == servedEnd
-		r.drop(m)
+		r.finish(m, how)
 		return
 	}
 	never := e.outcome == choice.Refused || e.outcome == choice.NoConnection || e.outcome == choice.NotSent
 	r.record(journal.Record{Op: journal.OpOutcome, ID: m.ID, Ran: !never})
 }
+
+// finish ends a message that needs no notice.
+func (r *Relay) finish(m *message, how ending) {
+	r.figures.ended(m.Class, how)
+	r.record(journal.Record{Op: journal.OpEnd, ID: m.ID})
+	m.served = how == servedEnd
+	r.drop(m)
+}
