relay: a request read with the last one on its connection is refused, not dropped

Cause: net/http closes a connection after an answer with Connection: close over what it has read ahead, and tells nobody. A request in the same read as the one before it was read and closed with no answer, in a stop or an upgrade or as its client asked for the close. Change: the connection counts what was read and takes from it what each request has of that; if something is left as it ends, that is refused (503) behind the last answer, as it was where the server's watch had read it. Measured: TestARequestInTheReadOfTheLastOneIsRefused fails in all of its cases looked at without the change; TestTheLastAnswerStandsAlone guards against refusals that answer nothing. Both 20 times; relay tests pass, also with -race.

--- a/internal/relay/ahead_test.go
+++ b/internal/relay/ahead_test.go
@@ -174,3 +174,69 @@
 	wantEnd(t, "connection", r)
 	want(t, "taken on", in.took("behind"), 0)
 }
+
+// Guards against ending a connection with its last answer over requests that came with the same read: two or three at once, a
+// part of one, and behind one whose body comes later than its head.
+func TestARequestInTheReadOfTheLastOneIsRefused(t *testing.T) {
+	last := func(id string) string {
+		return strings.Replace(message7(id), "Host: x", "Host: x\r\nConnection: close", 1)
+	}
+	for name, writes := range map[string][]string{
+		"whole":                       {last("last") + message7("behind")},
+		"part of it":                  {last("last") + message7("behind")[:3]},
+		"behind an earlier one":       {message7("first") + last("last") + message7("behind")},
+		"behind one in parts":         {last("last")[:10], last("last")[10:60], last("last")[60:] + message7("behind")},
+		"behind a body by itself":     {last("last")[:len(last("last"))-5], "hello" + message7("behind")},
+		"after one that came alone":   {message7("first"), last("last") + message7("behind")},
+		"behind one begun by another": {message7("first") + last("last")[:7], last("last")[7:] + message7("behind")},
+	} {
+		t.Run(name, func(t *testing.T) {
+			in := newIntakes(t, 8)
+			conn := in.dial(t)
+			r := bufio.NewReader(conn)
+			for i, text := range writes {
+				if i > 0 && strings.HasPrefix(writes[0], message7("first")) {
+					in.idles(t, 1)
+				} else if i > 0 {
+					in.begins(t)
+				}
+				io.WriteString(conn, text)
+			}
+			for range strings.Count(strings.Join(writes, ""), "hello") - strings.Count(strings.Join(writes, ""), "X-Request-Id: behind") {
+				wantStatus(t, "answer", r, http.StatusAccepted)
+			}
+			wantStatus(t, "answer to the one behind", r, http.StatusServiceUnavailable)
+			wantEnd(t, "connection", r)
+			want(t, "taken on", in.took("behind"), 0)
+		})
+	}
+}
+
+// Guards against a refusal that answers nothing: what was read ahead of an earlier request was served since.
+func TestTheLastAnswerStandsAlone(t *testing.T) {
+	last := strings.Replace(message7("last"), "Host: x", "Host: x\r\nConnection: close", 1)
+	for name, writes := range map[string][]string{
+		"one request":             {last},
+		"three in one read":       {message7("a") + message7("b") + last},
+		"one after the other":     {message7("a"), message7("b"), last},
+		"a part read ahead":       {message7("a") + last[:9], last[9:]},
+		"without spaces":          {strings.ReplaceAll(last, ": ", ":")},
+		"a longer target, a body": {strings.Replace(last, "/api", "/api?x=1", 1)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			in := newIntakes(t, 8)
+			conn := in.dial(t)
+			r := bufio.NewReader(conn)
+			for i, text := range writes {
+				if i > 0 {
+					in.idles(t, 1)
+				}
+				io.WriteString(conn, text)
+			}
+			for range strings.Count(strings.Join(writes, ""), "hello") {
+				wantStatus(t, "answer", r, http.StatusAccepted)
+			}
+			wantEnd(t, "connection", r)
+		})
+	}
+}
--- a/internal/relay/ending.go
+++ b/internal/relay/ending.go
@@ -200,5 +200,6 @@
 			panic(http.ErrAbortHandler)
 		}
 		next.ServeHTTP(w, req)
+		peerOf(req).handled(req)
 	})
 }
--- a/internal/relay/parting.go
+++ b/internal/relay/parting.go
@@ -54,6 +54,9 @@
 		return
 	}
 	c.buffer = max(c.buffer, room)
+	if c.begun.IsZero() {
+		c.received = int64(c.buffer - room)
+	}
 	if room < c.buffer {
 		c.beginBuffered()
 	}
--- a/internal/relay/peer.go
+++ b/internal/relay/peer.go
@@ -19,6 +19,7 @@
 	answered bool      // written to since the last byte came
 	active   bool      // the head of a request has been read
 	entered  bool      // a handler has the request under way, and answers it
+	received int64     // bytes read since the request under way began, those of one behind it among them
 	behind   bool      // the first byte of the request behind the one under way has come
 	served   bool      // a request before
 	client   bool      // has handed in a message
@@ -77,6 +78,7 @@
 		}
 		return readOn
 	}
+	c.received += int64(n)
 	if n > 0 {
 		c.behind = c.behind || c.entered && asked == 1
 		c.begin()
