relay: an upgrade waits behind one that asked and died, and is not refused

Cause: a next process that asked in the same turn of the loop as one that had died since was closed out, found the address taken and did not start. It made TestHandOverThatFails fail about once in a hundred runs. Change: two may wait; the second is handed over to if the first fails, and closed out if it does not. Measured: TestHandOverAfterOneThatDied, which forces that turn, fails without the change (it then hangs until the test's own limit) and passes 20 times; TestHandOverThatFails 60 times with none failed; relay tests pass, also with -race.

--- a/internal/relay/bequeath.go
+++ b/internal/relay/bequeath.go
@@ -41,11 +41,11 @@
 				continue
 			}
 			r.post(func() {
-				if r.heir != nil || r.heirConn != nil {
+				if r.heir != nil || len(r.askers) >= askersMost {
 					conn.Close() // there is a next process already
 					return
 				}
-				r.heirConn = conn
+				r.askers = append(r.askers, conn)
 			})
 			select {
 			case <-r.quit: // nobody will hand over any more
@@ -56,6 +56,20 @@
 	}()
 }
 
+// handOverToFirst hands over to the process that asked first. Any other goes without if that succeeds.
+func (r *Relay) handOverToFirst() {
+	conn := r.askers[0]
+	r.askers = r.askers[1:]
+	r.handOver(conn)
+	if r.heir != nil {
+		for _, other := range r.askers {
+			other.Close()
+		}
+		r.askers = nil
+	}
+	r.takeDeferred()
+}
+
 // handOver gives all that this process holds to the next one. It runs in the loop, right after a
 // step: nothing is undecided then. If it fails this process goes on as if nothing had been.
 func (r *Relay) handOver(conn *net.UnixConn) {
--- a/internal/relay/handover.go
+++ b/internal/relay/handover.go
@@ -31,8 +31,10 @@
 	handoverIn = 2 * time.Second
 	// lateCall is how long after a hand-over a call may still get its connection: news of its
 	// host's draining no longer reach this process.
-	lateCall  = 500 * time.Millisecond
-	linkQueue = 4096
+	lateCall = 500 * time.Millisecond
+	// askersMost bounds how many next processes may wait for a hand-over: one that has died, and the one started in its place.
+	askersMost = 2
+	linkQueue  = 4096
 )
 
 // bequest is what the next process needs besides the journal.
@@ -85,7 +87,7 @@
 type succession struct {
 	heritage *heritage         // from the process before this one; nil if there was none
 	heirs    *net.UnixListener // where the next process asks; nil if it cannot
-	heirConn *net.UnixConn     // it has asked
+	askers   []*net.UnixConn   // of next processes that have asked, in this order; the first may have died since
 	deferred []*intake         // came since then, and are taken on after the hand-over
 	heir     *link             // it has taken over
 	asked    map[int64]*intake // messages passed to it that it has not answered yet
--- a/internal/relay/handover_test.go
+++ b/internal/relay/handover_test.go
@@ -241,3 +241,27 @@
 		t.Error("this process goes on, and the next one finds that it has taken over")
 	}
 }
+
+// Guards against an upgrade that is refused because the process before it asked, and died, in the same turn of the loop: it
+// found the address taken, and did not start.
+func TestHandOverAfterOneThatDied(t *testing.T) {
+	calls := make(chan *seen, 10)
+	p := newPlatform(t, at("s-1", fakeHost(t, "a", calls), "taller"))
+	old := startRelay(t, p, withAdmin)
+	up(t, old.Addr())
+	goOn := make(chan struct{})
+	old.post(func() { <-goOn }) // a turn that lasts until both have asked
+	dead, err := net.Dial("unix", filepath.Join(old.conf.State, handoverName))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.WriteString(dead, handoverHello); err != nil {
+		t.Fatal(err)
+	}
+	dead.Close()
+	time.AfterFunc(100*time.Millisecond, func() { close(goOn) }) // both wait in the loop's inbox by then
+	next := upgrade(t, p, old)
+	hand(t, next.Addr(), "m1", "payment")
+	wait(t, calls, "call").answer <- 200
+	shows(t, next, "svc.requests.payment.served=1", "svc.in_flight=0")
+}
--- a/internal/relay/intake.go
+++ b/internal/relay/intake.go
@@ -172,7 +172,7 @@
 	switch {
 	case r.heir != nil:
 		r.pass(in)
-	case r.heirConn != nil && r.copies != nil: // the next process is to have all that counts first
+	case len(r.askers) > 0 && r.copies != nil: // the next process is to have all that counts first
 		r.deferred = append(r.deferred, in)
 	case r.held[id] != nil: // the client sent it again after its connection broke
 		m := r.held[id]
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -138,10 +138,9 @@
 		var again <-chan struct{}
 		if len(r.events) > 0 { // the step left some; nothing else may come in for long
 			again = atOnce
-		} else if conn := r.heirConn; conn != nil && !r.copies.waiting() {
-			r.heirConn = nil
-			r.handOver(conn)
-			r.takeDeferred()
+		} else if len(r.askers) > 0 && !r.copies.waiting() {
+			r.handOverToFirst()
+			again = atOnce // there may be a second one
 		} else if r.overflow.unfinished() {
 			again = atOnce
 		}
