relay: what another process may have out ends by the margin of all ends

Cause: takeUp ended such a message 0.1 s before its time, whatever the relay's own delays, where every other end has a margin of 150 ms or four times the longest delay of the loop. Change: endMargin is asked here, too; the lifetime of a message on record is one function.

--- a/internal/relay/books.go
+++ b/internal/relay/books.go
@@ -93,11 +93,7 @@
 		return
 	}
 	left := ms(e.Due - wall)
-	lifetime := left
-	if e.Terms != nil {
-		lifetime = e.Terms.Class.Deadline
-	}
-	left -= r.endMargin(lifetime)
+	left -= r.endMargin(lifetimeOf(e, left))
 	m := &message{Entry: e, due: r.now() + left}
 	r.held[id] = m
 	r.overflow.enter(m)
--- a/internal/relay/takeup.go
+++ b/internal/relay/takeup.go
@@ -23,8 +23,9 @@
 	m := &message{Entry: e, due: r.now() + left}
 	r.held[e.ID] = m
 	// Its time may be up before that: then it ends by its class, without another try.
-	last := wait >= left-takeUpMargin
-	time.AfterFunc(min(wait, max(0, left-takeUpMargin)), func() {
+	left -= r.endMargin(lifetimeOf(e, left))
+	last := wait >= left
+	time.AfterFunc(min(wait, max(0, left)), func() {
 		r.post(func() {
 			if r.held[e.ID] == m && !r.stopped && r.heir == nil {
 				delete(r.held, e.ID)
@@ -64,8 +65,13 @@
 	return e
 }
 
-// takeUpMargin is how long before its time is up a message ends that another process may still have out.
-const takeUpMargin = 100 * time.Millisecond
+// lifetimeOf is the whole time of a message on record; what is left of it if its terms were not recorded.
+func lifetimeOf(e *journal.Entry, left time.Duration) time.Duration {
+	if e.Terms != nil {
+		return e.Terms.Class.Deadline
+	}
+	return left
+}
 
 // toldWaits has the decisions hear of waits that the process before told of.
 func (r *Relay) toldWaits(recs []journal.Record) {
