relay: with copies, a withdrawal is told once holders have it

Cause: the client of a message that is withdrawn was told to hand it in again as soon as this relay's disk had the end. A holder that had not heard of it could have an heir deliver the first as well. Change: the answer waits until the end counts, as that of a message taken on does; if it does not count in time, the client is told what is told of a message that did not count.

--- a/internal/relay/copies.go
+++ b/internal/relay/copies.go
@@ -227,11 +227,10 @@
 
 // answerUncounted answers the client of a message that does not count and has ended here.
 func (r *Relay) answerUncounted(m *message) {
-	if m.Terms != nil && m.Terms.Class.Effect == choice.Unsafe {
-		r.figures.ended(m.Class, failedEnd)
-		m.answer(answer{status: http.StatusInternalServerError, text: "it is not known whether it will be delivered"})
-		return
+	a, how := withdrawnHere(m.Entry), refusedEnd
+	if a.status == http.StatusInternalServerError {
+		how = failedEnd
 	}
-	r.figures.ended(m.Class, refusedEnd)
-	m.answer(answer{status: http.StatusServiceUnavailable, after: comeBack, text: "too few copies"})
+	r.figures.ended(m.Class, how)
+	m.answer(a)
 }
--- a/internal/relay/copies_test.go
+++ b/internal/relay/copies_test.go
@@ -126,3 +126,22 @@
 	})
 	<-over
 }
+
+// Guards against a client that is told to hand a message in again while holders may still have it: an heir would deliver it, too.
+func TestAWithdrawalWaitsForItsCopies(t *testing.T) {
+	r, _ := copier(t, fleet.Refuse)
+	m, _ := takeOn(t, r, "m1", choice.Keyed)
+	said := make(chan bool, 1)
+	want(t, "it is withdrawn", r.withdraw(m.ID, func(counts bool) { said <- counts }), true)
+	r.counted()
+	want(t, "words on it before it counts", len(said), 0)
+	r.began = r.began.Add(-countIn) // so long later
+	r.counted()
+	want(t, "it counts", wait(t, said, "word"), false)
+	r.flush()
+	want(t, "messages on record", r.journal.Len(), 0)
+	for effect, status := range map[choice.Effect]int{choice.Keyed: http.StatusServiceUnavailable, choice.Unsafe: http.StatusInternalServerError} {
+		e := &journal.Entry{Terms: &choice.Terms{Class: choice.Class{Effect: effect}}}
+		want(t, "status where it does not count", withdrawnHere(e).status, status)
+	}
+}
--- a/internal/relay/record_order_test.go
+++ b/internal/relay/record_order_test.go
@@ -70,7 +70,7 @@
 	r.take(first)
 	r.step()
 	want(t, "status of the first", status(first), http.StatusAccepted)
-	r.withdraw("m1")
+	r.withdraw("m1", nil)
 	r.records = append(append([]journal.Record(nil), r.records...), tooLarge()...)
 	early := []*intake{request(t, r, context.Background(), "m1", "payment", time.Minute), request(t, r, context.Background(), "m2", "payment", time.Minute)}
 	for _, in := range early {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -310,7 +310,7 @@
 	r.post(func() {
 		for _, id := range []string{"once", "twice"} {
 			r.held[id] = &message{Entry: &journal.Entry{ID: id}, twice: id == "twice"}
-			r.withdraw(id)
+			r.withdraw(id, nil)
 		}
 		held <- len(r.held)
 		delete(r.held, "twice")
