relay: a restart leaves alone what an estate's owner before has out

Cause: a relay that restarted right after it had taken up another's estate took each attempt on record for its own, which had ended with its process, and sent a safe message again at once, though the owner before might have it out. Change: what is out in an estate of another relay waits for the attempt's time, also where the own folder tells of it. Measured: TestARestartLeavesAloneWhatAnOwnerBeforeHasOut fails without the change; relay tests pass.

--- a/internal/relay/copies_test.go
+++ b/internal/relay/copies_test.go
@@ -145,3 +145,26 @@
 		want(t, "status where it does not count", withdrawnHere(e).status, status)
 	}
 }
+
+// Guards against a second attempt at a message of another relay's estate right after a restart: the first, of its owner before,
+// may still be out, whatever this relay's folder tells.
+func TestARestartLeavesAloneWhatAnOwnerBeforeHasOut(t *testing.T) {
+	for name, atOnce := range map[string]bool{"r": true, "another": false} {
+		r, s := copier(t, fleet.Refuse)
+		delete(r.copies.streams, s.ID)
+		r.set.Store(&standing{})
+		now := time.Now().UnixMilli()
+		e := &journal.Entry{ID: "m1", Class: "c", Dest: 7, Estate: 1, Due: now + time.Minute.Milliseconds(), Terms: &choice.Terms{Class: choice.Class{Effect: choice.Safe}}}
+		if err := r.journal.Append(journal.Record{Op: journal.OpTaken, Entry: e}, journal.Record{Op: journal.OpTry, ID: "m1", At: now, Wait: 30_000}); err != nil {
+			t.Fatal(err)
+		}
+		r.conf.Name = "r"
+		begun, err := r.beginEstate(state.Estate{ID: 1, Name: name, Epoch: 2, Owner: "r", Writer: "w2", Main: true, Copies: 1}, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(begun.Close)
+		want(t, "messages held", len(r.held), 1)
+		want(t, "estate of "+name+": the decisions have it at once", len(r.events) == 1, atOnce)
+	}
+}
--- a/internal/relay/estates.go
+++ b/internal/relay/estates.go
@@ -109,7 +109,7 @@
 	for m := range r.journal.All() {
 		if m.Estate == e.ID {
 			n++
-			r.takeUp(m, theirs)
+			r.takeUp(m, theirs || heir) // what its owner before has out is not known
 		}
 	}
 	if theirs {
