--- a/choice/health.go
+++ b/choice/health.go
@@ -33,8 +33,8 @@
 	u.risky, u.errors = u.risky || o != NoConnection, u.errors || o == Error
 	u.note(true)
 	// Nothing here speaks against an outage, or it refuses connections in its ramp: it went down again.
-	alone := c.thin(u) && c.now-u.lastServed > c.set.Rules.Fall || u.state == recovering && o == NoConnection
-	if u.state != suspect && (alone || bits.OnesCount(u.recent) >= outage) {
+	enough := c.thin(u) && c.now-u.lastServed > c.set.Rules.Fall || u.state == recovering && o == NoConnection
+	if u.state != suspect && (enough || bits.OnesCount(u.recent) >= outage) {
 		c.suspect(u, d, "failures")
 	}
 }
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -61,7 +61,7 @@
 			defer cancel()
 			said.enough = cancel
 			r.Follow(ctx, func(List) {})
-			if most := int(2*time.Second/FirstPause) + 1; said.asked > most {
+			if most := int(2*time.Second/firstPause) + 1; said.asked > most {
 				t.Errorf("%s: asked %d times in a second, want %d at most", body, said.asked, most)
 			}
 		})
--- a/internal/discovery/follow.go
+++ b/internal/discovery/follow.go
@@ -77,7 +77,7 @@
 			if f.full, pause = true, f.next(fleet)-took; !f.turned.IsZero() && time.Since(f.turned) < doubtFor {
 				pause = min(pause, f.failed(fleet, took))
 			}
-		case news || took >= FirstPause: // else asking at once would go round and round
+		case news || took >= firstPause: // else asking at once would go round and round
 			f.next(fleet)
 			pause = 0
 		default:
--- a/internal/discovery/pacer.go
+++ b/internal/discovery/pacer.go
@@ -17,9 +17,9 @@
 	answerIn = 2200 * time.Millisecond
 	// takesIn is how long an answer takes at most where discovery has time for it; it is what HeardIn has to hold, too.
 	takesIn = time.Second
-	// FirstPause and LongPause bound the pauses after a call to the platform that failed.
-	FirstPause = 50 * time.Millisecond
-	LongPause  = time.Second
+	// firstPause and longPause bound the pauses after a call to the platform that failed.
+	firstPause = 50 * time.Millisecond
+	longPause  = time.Second
 	// startIn and moveIn bound the time to the first call of a process, and of one that was told another address.
 	startIn = 4 * time.Second
 	moveIn  = 3 * time.Second
@@ -40,12 +40,12 @@
 }
 
 // share is the time in which one call of this relay is its even part of what the fleet asks.
-func share(fleet int) time.Duration { return max(FirstPause, 2*FirstPause*time.Duration(fleet-2)) }
+func share(fleet int) time.Duration { return max(firstPause, 2*firstPause*time.Duration(fleet-2)) }
 
 // polls tells whether a relay asks for the whole list now and then, and watches no changes. A watch has to
 // be renewed within 200 ms: a change in that time counts as told, whether the next call comes or not. Where
 // that is far less than a relay's share, all renewals at once would overbook discovery with each change.
-func polls(fleet int) bool { return share(fleet) > LongPause }
+func polls(fleet int) bool { return share(fleet) > longPause }
 
 // first is the pause before the first call where there is a list to work from, and so much time.
 func (p *pacer) first(f Fleet, most time.Duration) time.Duration {
@@ -56,14 +56,14 @@
 // so long counts as told of what it does not know.
 func (p *pacer) next(f Fleet) time.Duration {
 	p.level = max(0, p.level-1)
-	mean := min(share(f.Size)<<p.level, max(LongPause, 3*f.AskWithin/4))
+	mean := min(share(f.Size)<<p.level, max(longPause, 3*f.AskWithin/4))
 	return time.Duration((0.75 + p.rand.Float64()/2) * float64(mean))
 }
 
 // failed is the pause after a call that failed and took so long.
 func (p *pacer) failed(f Fleet, took time.Duration) time.Duration {
 	longest := HeardIn - takesIn - took
-	mean := min(share(f.Size)*(LongPause/FirstPause), share(f.Size)<<p.level)
+	mean := min(share(f.Size)*(longPause/firstPause), share(f.Size)<<p.level)
 	if mean < longest {
 		p.level++
 	}
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -128,17 +128,23 @@
 	put(t, j, taken("again", 5000))
 }
 
+// readOnly is a journal's file, opened so that each write to it fails.
+func readOnly(t *testing.T, j *Journal) *os.File {
+	t.Helper()
+	f, err := os.Open(j.path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { f.Close() })
+	return f
+}
+
 // Guards against holding for recorded what could not be written.
 func TestFailedWrite(t *testing.T) {
 	dir := t.TempDir()
 	j := open(t, dir, 3e6)
 	put(t, j, taken("a", 10))
-	good := j.f
-	ro, err := os.Open(j.path)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer ro.Close()
+	good, ro := j.f, readOnly(t, j)
 	j.f = ro
 	if err := j.Append(taken("b", 10)); err == nil {
 		t.Fatal("a write to a read-only file went well")
@@ -155,12 +161,7 @@
 	dir := t.TempDir()
 	j := open(t, dir, 3e6)
 	put(t, j, taken("a", 10))
-	good := j.f
-	ro, err := os.Open(j.path)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer ro.Close()
+	good, ro := j.f, readOnly(t, j)
 	half := frame(nil, taken("b", 10))[:20]
 	if _, err := good.WriteAt(half, j.size); err != nil {
 		t.Fatal(err)
--- a/internal/lab/rules/estates_test.go
+++ b/internal/lab/rules/estates_test.go
@@ -9,13 +9,7 @@
 
 // lossOf is a history in which a relay takes a message on and its machine is lost; more is what follows.
 func lossOf(more ...history.Event) *Report {
-	c := New()
-	c.See(history.Event{Kind: history.Run, Terms: &history.Terms{MaxAttempts: 8, TakeOver: 4 * time.Second, DrainGrace: time.Second, AskWithin: time.Minute,
-		Classes: []history.Class{{Name: "k", Effect: "deduplicated", Window: 15 * time.Second, Aim: time.Second, Deadline: 2 * time.Second, Worth: 1}}}})
-	for _, p := range []string{"relay/0", "relay/1"} {
-		c.See(history.Event{Kind: history.Proc, Proc: p, How: "start"})
-		c.See(history.Event{Kind: history.Proc, Proc: p, How: "ready"})
-	}
+	c := checkerOfTwoRelays()
 	c.See(history.Event{T: 1e5, Kind: history.Metrics, Relay: "relay/0", Whole: 9e4, Figures: map[string]float64{"svc.estates.of.relay/0.7": 1}})
 	c.See(history.Event{T: 2e5, Kind: history.Hand, Relay: "relay/0", ID: "m", First: "m", Class: "k", Left: 2000})
 	c.See(history.Event{T: 21e4, Kind: history.Heard, Relay: "relay/0", ID: "m", Status: 202})
--- a/internal/relay/books.go
+++ b/internal/relay/books.go
@@ -129,11 +129,16 @@
 	r.drop(m)
 }
 
-// drop forgets a message that has ended.
-func (r *Relay) drop(m *message) {
+// release has a message be held no longer.
+func (r *Relay) release(m *message) {
 	m.over = true
 	delete(r.held, m.ID)
 	r.overflow.leave(m, r.now())
+}
+
+// drop forgets a message that has ended, but for its id.
+func (r *Relay) drop(m *message) {
+	r.release(m)
 	r.past.add(m.ID)
 }
 
--- a/internal/relay/copies.go
+++ b/internal/relay/copies.go
@@ -220,8 +220,7 @@
 	}
 	r.events = append(r.events, choice.Withdrawn{ID: m.ID})
 	r.record(journal.Record{Op: journal.OpEnd, ID: m.ID})
-	m.over = true
-	delete(r.held, m.ID)
+	r.release(m)
 	r.answerUncounted(m)
 }
 
--- a/internal/relay/notices_test.go
+++ b/internal/relay/notices_test.go
@@ -40,16 +40,23 @@
 	}
 }
 
+// endApart has messages end undelivered one after the other, so long apart, and returns their ids.
+func (g *noticeRig) endApart(count int, apart time.Duration) []string {
+	g.t.Helper()
+	ids := idsOf(count)
+	for _, id := range ids {
+		g.end(id)
+		time.Sleep(apart)
+	}
+	return ids
+}
+
 // Guards against batches that wait for each other where each answer takes a while.
 func TestNoticesOverASlowPlatform(t *testing.T) {
 	p := &memoryPlatform{react: func(_, _ int, _ time.Duration) reaction { return reaction{after: 180 * time.Millisecond} }}
 	inNoticeRig(t, p, func(g *noticeRig) {
 		const notices, apart, limit = 100, 7 * time.Millisecond, 300 * time.Millisecond
-		ids := idsOf(notices)
-		for _, id := range ids {
-			g.end(id)
-			time.Sleep(apart)
-		}
+		ids := g.endApart(notices, apart)
 		g.takenBy(p, notices*apart+limit, ids...)
 		for i, id := range ids {
 			if times := p.taken[id]; len(times) > 0 && times[0]-time.Duration(i)*apart > limit {
@@ -66,11 +73,7 @@
 		p := &memoryPlatform{react: func(_, _ int, _ time.Duration) reaction { return reaction{after: slow} }}
 		inNoticeRig(t, p, func(g *noticeRig) {
 			const notices, apart, limit = 300, 13 * time.Millisecond, 350 * time.Millisecond
-			ids := idsOf(notices)
-			for _, id := range ids {
-				g.end(id)
-				time.Sleep(apart)
-			}
+			ids := g.endApart(notices, apart)
 			g.takenBy(p, notices*apart+limit+2*slow, ids...)
 			for i, id := range ids {
 				ended := time.Duration(i) * apart
--- a/internal/relay/step.go
+++ b/internal/relay/step.go
@@ -108,9 +108,7 @@
 		return
 	}
 	r.figures.ended(m.Class, refusedEnd)
-	m.over = true
-	delete(r.held, m.ID)
-	r.overflow.leave(m, r.now())
+	r.release(m)
 	m.answer(answer{status: http.StatusServiceUnavailable, after: after, text: "refused"})
 }
 
--- a/internal/relay/withdraw.go
+++ b/internal/relay/withdraw.go
@@ -71,9 +71,7 @@
 		return false
 	}
 	r.events = append(r.events, choice.Withdrawn{ID: id})
-	m.over = true
-	delete(r.held, id)
-	r.overflow.leave(m, r.now())
+	r.release(m)
 	return true
 }
 
