relay: a call whose answer has begun may have run, and a small call is one write

Symptom: TestVastAnswerIsBounded, 338 of 14,400 calls of 24 processes side by side, counted as never sent; such a message may go out twice. Cause: the body's type made net/http flush the head first, and what was heard between the two writes did not count once the last one failed. Change: bytes of an answer make a call one that may have run (hostRequest.neverRan); the body goes as one in memory, with its head. Tests touched: two that made the body by hand take it from the request's own reader; what they want is as before.

--- a/internal/relay/admin_test.go
+++ b/internal/relay/admin_test.go
@@ -81,13 +81,13 @@
 	defer far.Close()
 	r := caller()
 	conn := &hostConn{Conn: near}
-	body := newOnceBody(bytes.Repeat([]byte{7}, 10), func() { r.figures.attempted(3) })
+	body := newHostRequest(bytes.Repeat([]byte{7}, 10), func() { r.figures.attempted(3) })
 	conn.sending.Store(body)
 	go io.Copy(io.Discard, far)
 	w := bufio.NewWriterSize(conn, 16)
 	w.WriteString("a head that is longer than the buffer")
 	want(t, "attempts after the head", r.figures.attempts, 0)
-	io.Copy(w, body)
+	io.Copy(w, body.reader())
 	if err := w.Flush(); err != nil {
 		t.Fatal(err)
 	}
@@ -95,7 +95,7 @@
 	want(t, "written", body.written.Load(), true)
 
 	far.Close()
-	lost := newOnceBody(nil, func() { t.Error("counted though the write failed") })
+	lost := newHostRequest(nil, func() { t.Error("counted though the write failed") })
 	conn.sending.Store(lost)
 	if _, err := conn.Write([]byte("head")); err == nil {
 		t.Fatal("a write to a closed connection went well")
--- a/internal/relay/calls.go
+++ b/internal/relay/calls.go
@@ -167,11 +167,11 @@
 
 // sending is what became of one request.
 type sending struct {
-	out    *onceBody
+	out    *hostRequest
 	conn   *hostConn // nil if none came up
 	resp   *http.Response
 	err    error
-	never  bool        // its last byte certainly did not go out; unsure counts as gone
+	never  bool        // it certainly did not run; unsure counts as one that did
 	reused bool        // the connection was kept from before
 	gated  atomic.Bool // nothing may go there any more
 }
@@ -187,7 +187,7 @@
 
 // send writes one request, and waits for the head of its answer.
 func (r *Relay) send(ctx context.Context, giveUp func(), c *call, ids []string) *sending {
-	a := &sending{out: newOnceBody(c.body, func() { r.figures.attempted(len(ids)) })}
+	a := &sending{out: newHostRequest(c.body, func() { r.figures.attempted(len(ids)) })}
 	if len(ids) == 1 {
 		a.out.giveUp = giveUp
 	}
@@ -220,7 +220,7 @@
 		a.never, a.err = true, err
 		return a
 	}
-	req.Body, req.ContentLength = a.out, int64(len(c.body))
+	req.Body, req.ContentLength = a.out.reader(), int64(len(c.body))
 	if len(ids) == 1 {
 		req.Header.Set("X-Request-Id", ids[0])
 		if c.key != "" {
@@ -235,6 +235,6 @@
 	if rest := a.out.rests.Load(); rest != nil {
 		rest.Stop()
 	}
-	a.never = a.err != nil && !a.out.written.Load()
+	a.never = a.err != nil && a.out.neverRan()
 	return a
 }
--- a/internal/relay/hostconn_test.go
+++ b/internal/relay/hostconn_test.go
@@ -108,8 +108,8 @@
 	near, far := net.Pipe()
 	defer far.Close()
 	c := &hostConn{Conn: near}
-	b := newOnceBody([]byte("x"), func() {})
-	b.Read(make([]byte, 2))
+	b := newHostRequest([]byte("x"), func() {})
+	b.body.Read(make([]byte, 2))
 	c.sending.Store(b)
 	go func() {
 		far.Read(make([]byte, 9))
