estate, logs: when holders are too few, which, for how long, and what the keepers refuse

Cause: six ends came late while a relay was short of holders; no line told since when, by which holders, or why none took their place. Change: lines as a stream becomes short and gets enough again, with each holder's state; as holders are replaced; as the keepers refuse a word.

--- a/internal/estate/owner.go
+++ b/internal/estate/owner.go
@@ -204,6 +204,8 @@
 		var no *api.Refused
 		if !errors.As(err, &no) || no.Status != http.StatusConflict {
 			slog.Warn("the keepers do not take a word on estates", "err", err, "remedy", remedy.Of(err))
+		} else {
+			slog.Info("the keepers refuse a word on estates", "err", err)
 		}
 		return false
 	}
--- a/internal/estate/state/writer.go
+++ b/internal/estate/state/writer.go
@@ -18,6 +18,17 @@
 	Lags   time.Duration // since when it is behind what counts; Fine while it is not
 }
 
+// String tells how a holder stands, for the log.
+func (f *Follower) String() string {
+	switch {
+	case f.Failed != Fine:
+		return f.Name + " takes nothing"
+	case !f.Whole:
+		return f.Name + " has no copy yet"
+	}
+	return f.Name + " has a copy"
+}
+
 // Writer knows from when on a record counts. Records have numbers from 1 on; times are spans since an epoch of the
 // caller's choosing.
 type Writer struct {
--- a/internal/estate/stream.go
+++ b/internal/estate/stream.go
@@ -157,11 +157,16 @@
 	Filled  bool   // earlier sets of holders are of no more use
 	Gone    []string
 	Holders int
+	States  []string // of the holders, for the log
 }
 
 // Standing tells how it stands.
 func (s *Stream) Standing() Standing {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return Standing{Epoch: s.w.Epoch, Counted: s.w.Counted(), Short: s.w.Short(), Filled: s.w.Filled(), Gone: s.w.Gone(s.now()), Holders: len(s.w.Followers)}
+	now := Standing{Epoch: s.w.Epoch, Counted: s.w.Counted(), Short: s.w.Short(), Filled: s.w.Filled(), Gone: s.w.Gone(s.now()), Holders: len(s.w.Followers)}
+	for _, f := range s.w.Followers {
+		now.States = append(now.States, f.String())
+	}
+	return now
 }
--- a/internal/estate/takeup.go
+++ b/internal/estate/takeup.go
@@ -56,6 +56,7 @@
 	now := s.Standing()
 	if e.Epoch > now.Epoch {
 		if o.Books.Mark(*e) {
+			slog.Info("an estate has another epoch", "estate", e.ID, "epoch", e.Epoch, "holders", e.Holders, "sets_before", len(e.Before))
 			s.Set(e.Epoch, e.Copies, e.Holders)
 		}
 		return
@@ -71,6 +72,7 @@
 			o.lose(e.ID)
 		}
 	case (len(now.Gone) > 0 || now.Holders <= e.Copies) && o.due():
+		slog.Info("other holders are asked for", "estate", e.ID, "epoch", e.Epoch, "gone", now.Gone, "holders", now.Holders)
 		o.say(ctx, state.Event{Replace: &state.Replace{Word: word, Gone: now.Gone}})
 	}
 }
--- a/internal/relay/copies.go
+++ b/internal/relay/copies.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"log/slog"
 	"net/http"
 	"slices"
 	"sync/atomic"
@@ -140,12 +141,16 @@
 		st, now := s.Standing(), r.now()
 		switch {
 		case !st.Short:
+			if s.short > 0 {
+				slog.Info("enough holders take copies", "estate", s.ID, "epoch", st.Epoch, "after", now-s.short)
+			}
 			s.short = 0
 			if s.ID == r.copies.main {
 				r.copies.begin()
 			}
 		case s.short == 0:
 			s.short = now
+			slog.Warn("too few holders take copies", "estate", s.ID, "epoch", st.Epoch, "holders", st.States)
 		}
 		risk := r.copies.conf.Short == fleet.OwnDisk && s.short > 0 && now-s.short >= countIn/2
 		s.gates.Pass(st.Counted, risk, now)
