lab: a lost machine's estate that had run out is not waited for

Cause: the lost relay had closed an estate that it had inherited 0.1 s before; the lab knew of it by figures a second old, nobody could take it up, and the lab waited for the end of all else. Change: of each estate in the figures it is asked whether anything in it is owed. A message of another relay's estate that is open now counts too, which it did not: stricter. Result: TestALostMachinesInheritedEstates fails in both rows without the change and passes.

--- a/internal/lab/rules/estates.go
+++ b/internal/lab/rules/estates.go
@@ -76,7 +76,7 @@
 func (c *Checker) tookOver(e history.Event) {
 	estates := map[string]bool{}
 	for name, v := range e.Figures {
-		if v > 0 && strings.HasPrefix(name, "svc.estates.of.") {
+		if v > 0 && strings.HasPrefix(name, estateFigure) {
 			estates[name] = true
 		}
 	}
@@ -92,16 +92,32 @@
 			if e.Figures[name] > 0 {
 				delete(t.left, name)
 				t.Heir = e.Relay
+			} else if !c.owes(estateOwner(name), t.at) {
+				delete(t.left, name) // it had run out, perhaps since its figures were read last
 			}
 		}
-		has := t.Heir != "" && len(t.left) == 0
-		owes := false
-		for _, m := range c.msgs {
-			owes = owes || m.Relay == t.Relay && m.taken > 0 && m.T < t.at && m.delivered == 0 && m.notice.T == 0
-		}
-		if !has && owes {
+		if len(t.left) > 0 || t.Heir == "" && c.owes(t.Relay, t.at) {
 			continue
 		}
 		t.After = float64(e.T-t.at) / 1e6
 	}
 }
+
+// estateFigure begins the names of the figures that tell of estates: NAME.NUMBER follows.
+const estateFigure = "svc.estates.of."
+
+// estateOwner is the relay that took on what is in the estate of a figure.
+func estateOwner(figure string) string {
+	name := strings.TrimPrefix(figure, estateFigure)
+	return name[:max(0, strings.LastIndexByte(name, '.'))]
+}
+
+// owes tells whether a message that a relay took on before a time has no end yet.
+func (c *Checker) owes(relay string, before int64) bool {
+	for _, m := range c.msgs {
+		if m.Relay == relay && m.taken > 0 && m.T < before && m.delivered == 0 && m.notice.T == 0 {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/lab/rules/estates_test.go
+++ b/internal/lab/rules/estates_test.go
@@ -53,6 +53,38 @@
 	}
 }
 
+// Guards against a take-over that seems to last long because the lost machine had just run out of another relay's estate, which then
+// nobody has, and against one that seems over while a message of such an estate is open.
+func TestALostMachinesInheritedEstates(t *testing.T) {
+	for name, c := range map[string]struct {
+		open  bool // a message of the inherited estate, until 5 s
+		after float64
+	}{"run out": {false, 2.7}, "a message is open": {true, 5.2}} {
+		checker := checkerOfTwoRelays()
+		figures := map[string]float64{"svc.estates.of.relay/0.7": 1, "svc.estates.of.relay/1.3": 1}
+		events := []history.Event{{T: 1e5, Kind: history.Metrics, Relay: "relay/0", Whole: 9e4, Figures: figures}}
+		for id, relay := range map[string]string{"m": "relay/0", "n": "relay/1"} {
+			if id == "n" && !c.open {
+				continue
+			}
+			events = append(events, history.Event{T: 2e5, Kind: history.Hand, Relay: relay, ID: id, First: id, Class: "k", Left: 9000},
+				history.Event{T: 21e4, Kind: history.Heard, Relay: relay, ID: id, Status: 202})
+		}
+		heir := history.Event{T: 3e6, Kind: history.Metrics, Relay: "relay/1", Whole: 29e5, Figures: map[string]float64{"svc.estates.of.relay/0.7": 1}}
+		events = append(events, history.Event{T: 3e5, Kind: history.Proc, Proc: "relay/0", How: "lose", Text: "for good"}, heir,
+			history.Event{T: 5e6, Kind: history.Notice, Relay: "relay/1", ID: "n", How: "deferred"})
+		heir.T, heir.Whole = 55e5, 54e5
+		events = append(events, heir, history.Event{T: 60e6, Kind: history.End})
+		for _, e := range events {
+			checker.See(e)
+		}
+		r := checker.Close()
+		if len(r.TakenOver) != 1 || r.TakenOver[0].After != c.after || r.TakenOver[0].Heir != "relay/1" {
+			t.Errorf("%s: %v, want after %.1f s by relay/1", name, r.TakenOver, c.after)
+		}
+	}
+}
+
 // Guards against ends that have more time because something else failed: a relay that still has its machine has no heir to wait for.
 func TestOnlyALostMachineGivesMoreTime(t *testing.T) {
 	at := int64(15e5)
