relay, estate: a relay takes on what its holders have room for; a due end waits for none

Symptom: with copies a relay that kept its machine was short of holders for seconds and told ends late (scenarios/estates-short.toml). Cause: a copy was full with 19 messages (128 KiB of its 187 KB were kept free) and then took no ends either; its owner took on far more. A notice waited for its record to count however late it was.

--- a/internal/estate/holder.go
+++ b/internal/estate/holder.go
@@ -24,6 +24,9 @@
 // partsOf is into how many parts a holder's disk is divided: it takes no more copies than that.
 const partsOf = 8
 
+// CopyBudget is what one copy may take of a holder's disk for copies, in bytes.
+func CopyBudget(disk int64) int64 { return disk / partsOf }
+
 // orderIn is for records that came before those that they follow: several batches are under way at a time.
 const orderIn = 100 * time.Millisecond
 
@@ -53,7 +56,7 @@
 
 // OpenHolder takes up the copies that an earlier process kept. One that cannot be read is none: who asks for it is told so.
 func OpenHolder(dir string, disk int64) (*Holder, error) {
-	h := &Holder{dir: filepath.Join(dir, "copies"), part: disk / partsOf, copies: map[uint64]*copied{}}
+	h := &Holder{dir: filepath.Join(dir, "copies"), part: CopyBudget(disk), copies: map[uint64]*copied{}}
 	if err := os.MkdirAll(h.dir, 0o700); err != nil {
 		return nil, &Disk{h.dir, err}
 	}
@@ -108,7 +111,7 @@
 	if err := os.MkdirAll(dir, 0o700); err != nil {
 		return nil, &Disk{dir, err}
 	}
-	j, err := journal.Open(dir, h.part)
+	j, err := journal.OpenCopy(dir, h.part)
 	if err != nil {
 		return nil, &Disk{dir, err}
 	}
--- a/internal/estate/stream.go
+++ b/internal/estate/stream.go
@@ -12,6 +12,8 @@
 
 // The bounds of a stream.
 const (
+	recordSize = 128                    // bytes of a record without a message, about
+	entrySize  = 512                    // and what a message adds to that, without its body
 	queueMost  = 2 << 20                // bytes of records kept for holders that are behind; further back they get the whole
 	underWay   = 3                      // batches on their way to one holder
 	firstPause = 20 * time.Millisecond  // after a call that failed
@@ -22,9 +24,11 @@
 
 // Stream carries one estate from its writer to its holders. It is safe for concurrent use.
 type Stream struct {
-	ID     uint64
-	client *http.Client
-	writer string
+	ID uint64
+	// BatchMost bounds the bytes of records in a batch; one record may be larger. It is set before the first holder follows.
+	BatchMost int
+	client    *http.Client
+	writer    string
 	// whole asks whoever owns the journal for all of the estate, and the number of the record that follows it.
 	whole func(ctx context.Context) (recs []journal.Record, next uint64, ok bool)
 	news  func()              // more counts, or a holder's state is another
@@ -45,7 +49,7 @@
 
 // NewStream begins to write an estate, whose next record has a number.
 func NewStream(id uint64, writer string, next uint64, client *http.Client, whole func(context.Context) ([]journal.Record, uint64, bool), news func(), over func(*state.Sealed)) *Stream {
-	return &Stream{ID: id, client: client, writer: writer, whole: whole, news: news, over: over, began: time.Now(),
+	return &Stream{ID: id, BatchMost: batchMost, client: client, writer: writer, whole: whole, news: news, over: over, began: time.Now(),
 		w: state.Writer{Next: next}, first: next, wake: make(chan struct{}), ends: map[*state.Follower]context.CancelFunc{}}
 }
 
@@ -97,9 +101,9 @@
 			e := *r.Entry
 			r.Entry = &e
 		}
-		n := 128
+		n := recordSize
 		if r.Entry != nil {
-			n += 2*len(r.Entry.Body) + len(r.Entry.ID) + len(r.Entry.Key)
+			n += entrySize + 2*len(r.Entry.Body) + len(r.Entry.ID) + len(r.Entry.Key)
 		}
 		s.queue, s.sizes, s.bytes = append(s.queue, r), append(s.sizes, n), s.bytes+n
 	}
--- a/internal/estate/tie.go
+++ b/internal/estate/tie.go
@@ -88,7 +88,7 @@
 		return behind
 	}
 	b := Batch{Estate: s.ID, Epoch: s.w.Epoch, Writer: s.writer, First: t.sent}
-	for i, n := int(t.sent-s.first), 0; i < len(s.queue) && (n == 0 || n+s.sizes[i] <= batchMost); i++ {
+	for i, n := int(t.sent-s.first), 0; i < len(s.queue) && (n == 0 || n+s.sizes[i] <= s.BatchMost); i++ {
 		b.Records = append(b.Records, s.queue[i].Shifted(t.ahead))
 		n += s.sizes[i]
 	}
--- a/internal/journal/estates.go
+++ b/internal/journal/estates.go
@@ -54,10 +54,15 @@
 
 // Replace puts records in the place of all that there is, whole or not at all.
 func (j *Journal) Replace(recs ...Record) error {
-	next := empty(j.path, j.budget)
+	next := empty(j.path, j.budget, j.reserve)
 	for _, r := range recs {
 		next.apply(r, int64(len(frame(nil, r))))
 	}
+	if next.live+j.size > j.budget {
+		if err := j.Compact(); err != nil {
+			return err
+		}
+	}
 	if next.live+j.size > j.budget {
 		return ErrFull
 	}
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -20,46 +20,21 @@
 	maxRecord  = 256 << 10
 	blockSize  = 512     // each file counts in whole blocks
 	slack      = 384     // room for an entry's history beyond what it was taken on with
-	reserve    = 1 << 17 // of the budget, kept for Records of messages already held
+	ownReserve = 1 << 17 // of a relay's own journal, kept for records of messages already held
 	// forgetUnwell is when an outage last heard of is over for a relay that starts.
 	forgetUnwell = 5 * time.Minute
 	markMost     = 4 << 10 // room for an estate's mark
 )
 
-// ErrFull says that the journal has no room for one more message.
-var ErrFull = &Failure{What: "disk budget used up", Advice: "give the relay more disk_mb, or see why what it holds does not end"}
-
-// Failure is something that a journal could not do.
-type Failure struct {
-	What   string // could not be done
-	Err    error  // the system's word; nil if it has none
-	Advice string // what an operator can do
-}
-
-func (f *Failure) Error() string {
-	if f.Err == nil {
-		return "journal: " + f.What
-	}
-	return "journal: " + f.What + ": " + f.Err.Error()
-}
-
-func (f *Failure) Unwrap() error { return f.Err }
-
-// Remedy says what an operator can do.
-func (f *Failure) Remedy() string { return f.Advice }
-
-// onDisk is a failure of the folder.
-func onDisk(what string, err error) error {
-	return &Failure{what, err, "see whether the folder that lasts can be written and has room; nothing is taken on until then"}
-}
-
 // Journal is one relay's, open in one process. It is not safe for concurrent use.
 type Journal struct {
 	path    string
 	budget  int64 // for all files together
 	f       *os.File
 	size    int64
-	live    int64 // what a compacted journal takes at most
+	reserve int64            // of the budget, kept for records of messages already held
+	live    int64            // what a compacted journal takes at most
+	held    map[uint64]int64 // what messages take of a copy at the most, by estate
 	entries map[string]*Entry
 	unwell  map[string]Record // hosts in an outage, or cold after it
 	byHand  map[string]Record // hosts that operators took out, or gave back not long ago
@@ -79,15 +54,20 @@
 	n  uint64
 }
 
-func empty(path string, budget int64) *Journal {
-	return &Journal{path: path, budget: budget, entries: map[string]*Entry{}, unwell: map[string]Record{}, byHand: map[string]Record{},
+func empty(path string, budget, reserve int64) *Journal {
+	return &Journal{path: path, budget: budget, reserve: reserve, held: map[uint64]int64{}, entries: map[string]*Entry{}, unwell: map[string]Record{}, byHand: map[string]Record{},
 		waits: map[string]Record{}, marks: map[uint64]Mark{}}
 }
 
 // Open replays what an earlier process left and starts a compacted file. While the folder cannot be written it goes on with
 // the old one.
-func Open(dir string, budget int64) (*Journal, error) {
-	j := empty(filepath.Join(dir, fileName), budget-4*blockSize)
+func Open(dir string, budget int64) (*Journal, error) { return openWith(dir, budget, ownReserve) }
+
+// usableOf is what records may take of a budget: both files count in whole blocks.
+func usableOf(budget int64) int64 { return budget - 4*blockSize }
+
+func openWith(dir string, budget, reserve int64) (*Journal, error) {
+	j := empty(filepath.Join(dir, fileName), usableOf(budget), reserve)
 	if err := unfenced(filepath.Join(dir, oldNext)); err != nil {
 		slog.Warn("journal", "err", err, "remedy", remedy.Of(err))
 	}
@@ -169,6 +149,7 @@
 		e = r.Entry
 		e.size = n + slack
 		j.live += e.size
+		j.held[e.Estate] += e.size + slack
 		j.entries[e.ID] = e
 		j.places++
 		e.seq = j.places
@@ -186,6 +167,7 @@
 		e.Status, e.Again, e.Body, e.Out = r.Status, r.Again, nil, false
 	case r.Op == OpEnd:
 		j.live -= e.size
+		j.letGo(e)
 		delete(j.entries, r.ID)
 	}
 }
@@ -205,7 +187,7 @@
 		switch r.Op {
 		case OpTaken:
 			grows += ends[i] + slack
-			spare = reserve
+			spare = j.reserve
 		case OpHealth, OpByHand, OpWait:
 			grows += slack
 		case OpMark:
--- a/internal/relay/books.go
+++ b/internal/relay/books.go
@@ -125,7 +125,7 @@
 // give ends a message undelivered.
 func (r *Relay) give(m *message, n notice) {
 	r.record(journal.Record{Op: journal.OpNotice, ID: m.ID, Status: n.Status, Again: n.Again})
-	n.class = m.Class
+	n.class, n.due = m.Class, r.now()+steady.Until(m.Due)
 	r.owe(n)
 	r.drop(m)
 }
--- a/internal/relay/copies.go
+++ b/internal/relay/copies.go
@@ -1,10 +1,8 @@
 package relay
 
 import (
-	"fmt"
 	"log/slog"
 	"net/http"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -38,9 +36,12 @@
 	streams map[uint64]*stream
 	poked   atomic.Bool // the loop is to look at what counts
 	looks   bool        // and will do so in a while
-	adopted string      // writer that the process before this one was, in an upgrade
-	holder  atomic.Pointer[estate.Holder]
-	begun   chan struct{} // closed once new messages can be copied
+	fresh   int64       // bytes of a copy that messages take which are not on record yet
+	// uncounted are notices that wait for their records to count.
+	uncounted []*uncountedNotices
+	adopted   string // writer that the process before this one was, in an upgrade
+	holder    atomic.Pointer[estate.Holder]
+	begun     chan struct{} // closed once new messages can be copied
 }
 
 // stream is one estate that this relay writes.
@@ -156,37 +157,13 @@
 		s.gates.Pass(st.Counted, risk, now)
 		waits = waits || s.gates.Len() > 0 || s.short > 0
 	}
+	r.tellDue()
 	if waits {
 		r.lookSoon()
 	}
 	r.figures.copied(r.standing())
 }
 
-// standing is how copies stand, for the figures.
-func (r *Relay) standing() copiesFigures {
-	f := copiesFigures{on: true}
-	for _, s := range r.copies.streams {
-		f.owned++
-		if s.short > 0 {
-			f.short++
-		} else {
-			f.of = append(f.of, fmt.Sprintf("%s.%d", s.estate.Name, s.ID))
-		}
-		f.waiting += s.gates.Len()
-	}
-	slices.Sort(f.of)
-	if r.copies.main == 0 {
-		f.short++
-	}
-	if f.short > 0 && r.copies.conf.Short == fleet.OwnDisk {
-		f.atRisk = len(r.held)
-	}
-	if h := r.copies.holder.Load(); h != nil {
-		f.copies = h.Len()
-	}
-	return f
-}
-
 // takes tells whether a new message can be copied, or goes on the own disk as configured.
 func (c *copying) takes(now time.Duration) bool {
 	if c == nil || c.conf.Short == fleet.OwnDisk {
--- /dev/null
+++ b/internal/relay/due_notices.go
@@ -0,0 +1,49 @@
+package relay
+
+import (
+	"log/slog"
+	"slices"
+)
+
+// A notice waits until its record counts: an heir that does not know of it could deliver the message, after its client was told
+// to hand it in again. Once the message's time is up no heir begins a call with it any more, and none is out, so the notice waits
+// no longer: it would only come too late.
+
+// uncountedNotices are notices of one write whose records do not count yet.
+type uncountedNotices struct{ waiting []notice }
+
+// noticesCounted is what is to be done with notices once their records count, or are another relay's.
+func (r *Relay) noticesCounted(notices []notice) func(counts bool) {
+	c := r.copies
+	if c == nil {
+		return func(counts bool) { r.sendNotices(notices, counts) }
+	}
+	u := &uncountedNotices{slices.Clone(notices)}
+	c.uncounted = append(c.uncounted, u)
+	return func(counts bool) {
+		c.uncounted = slices.DeleteFunc(c.uncounted, func(other *uncountedNotices) bool { return other == u })
+		r.sendNotices(u.waiting, counts)
+	}
+}
+
+// tellDue has notices go out whose messages' time is up, though their records do not count yet.
+func (r *Relay) tellDue() {
+	if r.heir != nil {
+		return // they are the next process's
+	}
+	now := r.now()
+	for _, u := range r.copies.uncounted {
+		var due []notice
+		u.waiting = slices.DeleteFunc(u.waiting, func(n notice) bool {
+			if n.due > now {
+				return false
+			}
+			due = append(due, n)
+			return true
+		})
+		if len(due) > 0 {
+			slog.Warn("ends are told that holders do not have yet", "messages", len(due))
+			r.notices.add(due)
+		}
+	}
+}
--- a/internal/relay/estates.go
+++ b/internal/relay/estates.go
@@ -131,6 +131,7 @@
 		ok = (*ownBooks)(r).done(func(r *Relay) { recs, next = r.journal.Whole(e.ID), s.Next() })
 		return recs, next, ok && ctx.Err() == nil
 	}, r.news, func(*state.Sealed) { c.owner.Seal(e.ID) })
+	s.BatchMost = min(s.BatchMost, int(journal.CopyBatch(r.conf.copyBudget())))
 	c.streams[e.ID] = s
 	if e.Main {
 		c.main = e.ID
--- a/internal/relay/flush.go
+++ b/internal/relay/flush.go
@@ -36,7 +36,7 @@
 		notices := r.noticesOf(part)
 		var then func(counts bool)
 		if len(notices) > 0 {
-			then = func(counts bool) { r.sendNotices(notices, counts) }
+			then = r.noticesCounted(notices)
 		}
 		if err := r.bind(part, 0, then); err != nil {
 			slog.Error("not recorded", "records", len(r.records), "err", err, "remedy", remedy.Of(err))
--- a/internal/relay/intake.go
+++ b/internal/relay/intake.go
@@ -196,7 +196,7 @@
 		r.figures.ended(in.entry.Class, failedEnd)
 		in.reply <- answer{status: http.StatusNotFound, text: "unknown destination"}
 	case r.stopped || !r.copies.takes(r.now()) || set.MaxHeld > 0 && len(r.held)+r.overflow.len() >= set.MaxHeld ||
-		r.owed >= maxOwed || r.overflow.broken():
+		r.owed >= maxOwed || r.overflow.broken() || !r.holdersHaveRoom(in.entry):
 		r.figures.ended(in.entry.Class, refusedEnd)
 		in.reply <- refuse
 	case r.toDisk(in):
--- a/internal/relay/notices.go
+++ b/internal/relay/notices.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"time"
+
 	"larchrouter/internal/journal"
 )
 
@@ -12,10 +14,11 @@
 
 // notice tells the platform how a message ended.
 type notice struct {
-	ID     string `json:"id"`
-	Status string `json:"status"`
-	Again  int64  `json:"again_ms,omitempty"` // when the client should come again
-	class  string // of a message that ended in this process; empty for one that an earlier one ended
+	ID     string        `json:"id"`
+	Status string        `json:"status"`
+	Again  int64         `json:"again_ms,omitempty"` // when the client should come again
+	class  string        // of a message that ended in this process; empty for one that an earlier one ended
+	due    time.Duration // when the message's time is up, by the relay's clock; 0 for one that an earlier process ended
 }
 
 // how is the ending that a notice tells of.
--- a/internal/relay/step.go
+++ b/internal/relay/step.go
@@ -90,6 +90,9 @@
 		}
 	}
 	r.fresh = r.fresh[:0]
+	if r.copies != nil {
+		r.copies.fresh = 0
+	}
 }
 
 // arm sets the timer for the earliest wake-up asked for. One that fell due, but whose tick
