choice: what is held is kept while the list has expired, and what comes is turned away

Cause: a full room gave back the least worth for each message that came, also while nothing could be sent: that gains nothing, and breaks a promise each time. Change: while the list has expired, only what comes, or what has been kept for seven tenths of its time, gives way. Else nothing changes.

--- a/choice/answers.go
+++ b/choice/answers.go
@@ -12,7 +12,8 @@
 	if e.Terms != nil {
 		k, most = &e.Terms.Class, e.Terms.Attempts
 	}
-	m := &message{Arrival: e, class: k, most: most, dest: c.dest(e.Dest), due: c.now + e.Left, unsure: -1}
+	m := &message{Arrival: e, class: k, most: most, dest: c.dest(e.Dest), came: c.now, due: c.now + e.Left}
+	m.unsure = -1
 	m.born, m.past = m.due-k.Deadline, !c.within(e.Tenant)
 	c.msgs[e.ID] = m
 	c.held++
@@ -151,24 +152,36 @@
 		c.final(m)
 	}
 	for c.set.MaxHeld > 0 && float64(c.held) > crowded*float64(c.set.MaxHeld) {
-		var worst *message
-		least := math.Inf(1)
-		for d := range c.live.each {
-			for _, m := range d.waiting.all {
-				if m == nil {
-					continue
-				}
-				w := c.worth(m, c.now) / float64(d.waiting.n)
-				// What a restart finds untried was taken on for good: what comes is turned away instead.
-				untried := m.restored && m.attempts == 0
-				if w < least && !untried && (!m.ran || m.class.Effect == Safe) {
-					least, worst = w, m
-				}
-			}
-		}
-		if worst == nil {
+		m := c.leastWorth(c.dispensable)
+		if m == nil {
 			return
 		}
-		c.final(worst)
+		c.final(m)
+	}
+}
+
+// leastWorth is the message of the least worth among some that wait, less where many do; nil for none.
+func (c *Chooser) leastWorth(among func(*message) bool) (worst *message) {
+	least := math.Inf(1)
+	for d := range c.live.each {
+		for _, m := range d.waiting.all {
+			if m == nil || !among(m) {
+				continue
+			}
+			if w := c.worth(m, c.now) / float64(d.waiting.n); w < least {
+				least, worst = w, m
+			}
+		}
+	}
+	return worst
+}
+
+// dispensable tells whether a message may be turned away for want of room.
+func (c *Chooser) dispensable(m *message) bool {
+	// What a restart finds untried was taken on for good: what comes is turned away instead.
+	if untried := m.restored && m.attempts == 0; untried || m.ran && m.class.Effect != Safe {
+		return false
 	}
+	// While nothing can be sent, one that gives way to another gains nothing, and costs a promise in vain.
+	return !c.listExpired || m.came == c.now || float64(c.now-m.born) >= keptShare*float64(m.class.Deadline)
 }
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -33,6 +33,8 @@
 	glance = 200 // looks without news within the shortest aim
 	// crowded is the part of the holding room above which the least worth is turned away.
 	crowded = 0.9
+	// keptShare is the part of its time for which a message is kept while nothing can be sent.
+	keptShare = 0.7
 )
 
 // Step takes in all that happened, then decides once.
--- a/choice/state.go
+++ b/choice/state.go
@@ -16,6 +16,7 @@
 	most     int    // attempts, likewise
 	dest     *dest
 	due      time.Duration // deadline
+	came     time.Duration // the Step that heard of it
 	born     time.Duration // due less the class's deadline: first handed in
 	attempts int
 	timeout  time.Duration // of the last try
