discovery: a fleet's first calls and their pace go by how long discovery takes for one

Cause (debug logs): after the first round over 10 s relays asked every 6.5 to 7 s, 44 to 63 calls a second for 28; answers took 1.3 to 2.0 s of the 6.8 s that they are good for, and others were refused. In TestFleetGetsOverCongestion nobody is answered for 25 s after a start. Change: the time between calls begins at 0.6 of a round of the whole fleet, as the first answer has it without its way, and differs by a fifth by chance where lists expire in any case.

--- a/internal/discovery/call.go
+++ b/internal/discovery/call.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"time"
 )
 
@@ -20,6 +21,8 @@
 	list   List
 	err    error
 	took   time.Duration
+	// connect is how long its connection took to come up; 0 for one that was kept.
+	connect time.Duration
 }
 
 // current is a time at which the list had all that discovery had, for a call that was answered. A watch that found nothing new
@@ -49,7 +52,7 @@
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	defer context.AfterFunc(valid, cancel)()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	req, err := http.NewRequestWithContext(c.timeConnect(ctx), http.MethodGet, url, nil)
 	if err != nil {
 		return l, err
 	}
@@ -65,6 +68,19 @@
 	return l, json.NewDecoder(body).Decode(&l)
 }
 
+// timeConnect has it noted how long the connection of a call takes to come up.
+func (c *call) timeConnect(ctx context.Context) context.Context {
+	var begun time.Time
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		ConnectStart: func(string, string) { begun = time.Now() },
+		ConnectDone: func(_, _ string, err error) {
+			if err == nil {
+				c.connect = time.Since(begun)
+			}
+		},
+	})
+}
+
 // noticedBody tells of the first byte that is read of it.
 type noticedBody struct {
 	io.Reader
--- a/internal/discovery/follow.go
+++ b/internal/discovery/follow.go
@@ -27,11 +27,12 @@
 	pacer
 	lease
 	version int64
-	full    bool      // ask for the whole list: what is known may be old
-	held    bool      // version is that of a list which discovery itself told
-	older   time.Time // the first of the answers in a row that were of an older version
-	turned  time.Time // another history was begun
-	watched time.Time // the last answer of a watch came; zero if another call was answered or failed since
+	full    bool          // ask for the whole list: what is known may be old
+	held    bool          // version is that of a list which discovery itself told
+	older   time.Time     // the first of the answers in a row that were of an older version
+	turned  time.Time     // another history was begun
+	trip    time.Duration // to discovery and back: what the last connection took to come up
+	watched time.Time     // the last answer of a watch came; zero if another call was answered or failed since
 }
 
 // Follow keeps up with discovery until the context ends. The list counts as told while the next call
@@ -106,15 +107,19 @@
 		tell(c.list)
 	}
 	f.publish()
+	if c.connect > 0 {
+		f.trip = c.connect
+	}
+	handled := max(0, c.took-c.connect-f.trip)
 	switch {
 	case polls(fleet.Size):
-		if f.full, pause = true, f.next(fleet, c.took)-c.took; !f.turned.IsZero() && time.Since(f.turned) < doubtFor {
+		if f.full, pause = true, f.next(fleet, c.took, handled)-c.took; !f.turned.IsZero() && time.Since(f.turned) < doubtFor {
 			pause = min(pause, f.failed(fleet, c.took))
 		}
 	case news || c.took >= firstPause: // else asking at once would go round and round
-		f.next(fleet, c.took)
+		f.next(fleet, c.took, handled)
 	default:
-		pause = f.next(fleet, c.took)
+		pause = f.next(fleet, c.took, handled)
 	}
 	return pause
 }
--- a/internal/discovery/pacer.go
+++ b/internal/discovery/pacer.go
@@ -33,6 +33,13 @@
 	// failed. Near what discovery can handle a fleet whose relays change theirs by more swings between too many calls and
 	// too few, and a list may be acted on for less time than a swing takes (trials with TestFleetGetsOverCongestion).
 	sooner, later, muchLater = 0.9, 1.2, 1.3
+	// firstRound is the part of a round of calls by the whole fleet, as the first answer has it, that the time from call to call is
+	// at first: that answer waited for others, mostly of relays that started with this one (trials with TestFleetGetsOverCongestion).
+	firstRound = 0.6
+	// even and mixed are the parts by which the time between calls differs by chance: little where each call renews a list just
+	// before it expires, and much where lists expire in any case, for calls that come in bunches wait for each other, and leave
+	// discovery idle behind them.
+	even, mixed = 0.04, 0.2
 )
 
 // pacer spaces this relay's calls for the list. Discovery serves all relays in turn, and a change, an
@@ -64,8 +71,15 @@
 // settings' grace for drains comes on top of the list's time.
 func (f Fleet) within() time.Duration { return max(longPause, 13*f.span()/12) }
 
-// usual is the time from call to call where the first answer is slow: well within the settings' time, which allows for what
-// discovery can handle. A list may not be acted on for some of it.
+// round is the time from call to call after the first answer. Discovery handles calls in turn, so one for each relay takes it as
+// many times as long as that one took, at the most; the settings' time allows for what it can handle. Calls that come faster than
+// that keep it so busy that nobody is answered any more.
+func (f Fleet) round(handled time.Duration) time.Duration {
+	return min(max(f.within(), scaled(time.Duration(f.Size)*handled, firstRound)), f.slow())
+}
+
+// usual is the time from call to call below which it shrinks after quick answers only: well within the settings' time. A list may
+// not be acted on for some of it.
 func (f Fleet) usual() time.Duration { return max(f.within(), 7*f.AskWithin/10) }
 
 // shortest is the time from call to call while answers come promptly: a relay's share, if that is within the settings' time.
@@ -90,27 +104,26 @@
 	return time.Duration((1 - part + 2*part*p.rand.Float64()) * float64(mean))
 }
 
-// next is the pause after an answer that took so long, from the call that it came for. The settings bound it: a relay that has
-// not asked for so long counts as told of what it does not know.
-func (p *pacer) next(f Fleet, took time.Duration) time.Duration {
+// next is the pause after an answer that took so long, from the call that it came for, of which it waited for its turn and was
+// handled for a part. The settings bound it: a relay that has not asked for so long counts as told of what it does not know.
+func (p *pacer) next(f Fleet, took, handled time.Duration) time.Duration {
 	p.level = max(0, p.level-1)
 	if !polls(f.Size) {
 		return p.around(min(share(f.Size)<<p.level, f.within()), 0.25)
 	}
 	p.failures = 0
-	if p.interval == 0 {
-		p.interval = f.within()
-		if took > quickIn {
-			p.interval = f.usual()
-		}
-	}
 	switch {
+	case p.interval == 0:
+		p.interval = f.round(handled)
 	case took > promptIn:
 		p.slower(f, later, f.slow())
 	case took < quickIn || p.interval > f.usual():
 		p.interval = max(f.shortest(), scaled(p.interval, sooner))
 	}
-	return p.around(p.interval, 0.04)
+	if p.interval > f.within() {
+		return p.around(p.interval, mixed)
+	}
+	return p.around(p.interval, even)
 }
 
 // slower stretches the time between calls by a factor for what may be congestion, up to a time; one that is longer stays as it is.
--- a/internal/discovery/scale_test.go
+++ b/internal/discovery/scale_test.go
@@ -68,7 +68,7 @@
 	p := pacer{rand: rand.New(rand.NewPCG(1, uint64(fleet)))}
 	var all time.Duration
 	for range draws {
-		all += p.next(Fleet{Size: fleet, AskWithin: 10 * time.Second}, 0)
+		all += p.next(Fleet{Size: fleet, AskWithin: 10 * time.Second}, 0, 0)
 	}
 	return float64(fleet) * float64(draws) / all.Seconds()
 }
