relay: a due end that could not be recorded is not told, and told once later

Cause: notices waited for their record to count from before the record was written; where the write failed each try left them once more, and those that were due were told though they are not on record. Change: a write that fails forgets them; they wait to be recorded as before.

--- a/internal/estate/estate.go
+++ b/internal/estate/estate.go
@@ -31,6 +31,9 @@
 	nameMost  = 200
 )
 
+// CopyBudget is what one copy may take of a holder's disk for copies, in bytes.
+func CopyBudget(disk int64) int64 { return disk / partsOf }
+
 // Batch is records of an estate, from number First on. Whole says that they are all that there is of it, and that the next
 // record has the number First. Stamps are by the holder's clock.
 type Batch struct {
--- a/internal/estate/holder.go
+++ b/internal/estate/holder.go
@@ -24,9 +24,6 @@
 // partsOf is into how many parts a holder's disk is divided: it takes no more copies than that.
 const partsOf = 8
 
-// CopyBudget is what one copy may take of a holder's disk for copies, in bytes.
-func CopyBudget(disk int64) int64 { return disk / partsOf }
-
 // orderIn is for records that came before those that they follow: several batches are under way at a time.
 const orderIn = 100 * time.Millisecond
 
--- a/internal/relay/copies_room_test.go
+++ b/internal/relay/copies_room_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -144,3 +145,27 @@
 	want(t, "the one that is due", r.notices.queue[0].ID, "due")
 	want(t, "notices owed", r.owed, 2)
 }
+
+// Guards against an end that is told though it is not on record: a start would deliver the message. It waits to be recorded once.
+func TestADueEndThatIsNotRecordedWaits(t *testing.T) {
+	r, _ := copier(t, fleet.Refuse)
+	m := &message{Entry: &journal.Entry{ID: "due", Class: "c", Estate: 1, Due: time.Now().Add(-time.Second).UnixMilli()}}
+	if err := r.bind([]journal.Record{{Op: journal.OpTaken, Entry: m.Entry}}, 0, nil); err != nil {
+		t.Fatal(err)
+	}
+	r.held["due"] = m
+	r.give(m, notice{ID: "due", Status: undeliverable})
+	r.journal.Break(errors.New("the disk is full"))
+	for range 3 {
+		r.flush()
+		r.counted()
+	}
+	want(t, "notices told before they are on record", len(r.notices.queue), 0)
+	if err := r.journal.Compact(); err != nil { // it can be written again
+		t.Fatal(err)
+	}
+	r.flush()
+	r.counted()
+	want(t, "notices told", len(r.notices.queue), 1)
+	want(t, "notices owed", r.owed, 1)
+}
--- a/internal/relay/due_notices.go
+++ b/internal/relay/due_notices.go
@@ -26,6 +26,13 @@
 	}
 }
 
+// dropUncounted forgets the notices of the write before, which failed: they wait to be recorded again.
+func (r *Relay) dropUncounted() {
+	if c := r.copies; c != nil {
+		c.uncounted = c.uncounted[:len(c.uncounted)-1]
+	}
+}
+
 // tellDue has notices go out whose messages' time is up, though their records do not count yet.
 func (r *Relay) tellDue() {
 	if r.heir != nil {
--- a/internal/relay/flush.go
+++ b/internal/relay/flush.go
@@ -39,6 +39,9 @@
 			then = r.noticesCounted(notices)
 		}
 		if err := r.bind(part, 0, then); err != nil {
+			if then != nil {
+				r.dropUncounted()
+			}
 			slog.Error("not recorded", "records", len(r.records), "err", err, "remedy", remedy.Of(err))
 			r.flushAgain()
 			return
