--- a/review/standin/endpoint.go
+++ b/review/standin/endpoint.go
@@ -23,7 +23,12 @@
 			rw.WriteHeader(http.StatusBadRequest)
 			return
 		}
-		w.log("%s: call with %s, %d bytes", name, id, len(body))
+		w.mu.Lock()
+		w.logLocked("%s: call with %s and the body %q", name, id, body)
+		if w.messages[id] == nil {
+			w.strays[id]++
+		}
+		w.mu.Unlock()
 		if time.Now().Before(opensAt) {
 			rw.WriteHeader(http.StatusServiceUnavailable)
 			return
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -11,6 +11,7 @@
 
 // cases are the cases by their names. Each returns how often the rule was broken.
 var cases = map[string]func(w *world, trouble bool) (broken int, err error){
+	"inner":  innerCase,
 	"reload": reloadCase,
 }
 
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -25,6 +25,7 @@
 	mu        sync.Mutex
 	record    *os.File
 	messages  map[string]*message
+	strays    map[string]int // calls at endpoints with an id that no client handed in
 	processes []*exec.Cmd
 }
 
@@ -54,7 +55,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &world{root: root, dir: dir, start: time.Now(), record: record, messages: map[string]*message{}}, nil
+	return &world{root: root, dir: dir, start: time.Now(), record: record, messages: map[string]*message{}, strays: map[string]int{}}, nil
 }
 
 // log adds a line to the record.
