review: case 2, after quick reloads an at-most-once message runs twice

Need: an independent review wants faults shown by tests that fail. Adds: review/2 (claim, script) and its part of the stand-ins.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -11,8 +11,9 @@
 
 // cases are the cases by their names. Each returns how often the rule was broken.
 var cases = map[string]func(w *world, trouble bool) (broken int, err error){
-	"inner":  innerCase,
-	"reload": reloadCase,
+	"inner":      innerCase,
+	"reload":     reloadCase,
+	"succession": successionCase,
 }
 
 // main plays the case that its argument names. It exits with 1 if the rule was broken, 0 if it held, and 2 if the case
