--- a/review/standin/reload.go
+++ b/review/standin/reload.go
@@ -11,8 +11,8 @@
 
 // reloadCase replaces the configuration file by a sound one and sends SIGHUP. The new file names another address of
 // discovery, as the page TERMS has it, and adds a class. The class in use has the key aim-stretch; the added one has
-// not, which the page WIRE allows. Of two destinations one is shut, with and without the disruption, so that its
-// messages end by notices.
+// not, which the page WIRE allows. One destination, which gets a quarter of the messages, is shut for 20 s, with and
+// without the disruption, so that there are messages that end by notices.
 func reloadCase(w *world, trouble bool) (broken int, err error) {
 	sound, err := w.newEndpoint("s-7", 7, 50*time.Millisecond, 0)
 	if err != nil {
@@ -55,9 +55,9 @@
 		})
 	}
 	var clients sync.WaitGroup
-	for i := range 32 {
-		clients.Go(func() { r.send("order-msg", fmt.Sprintf("%032x", i), 7+i%2, 6*time.Second, "order confirmation") })
-		time.Sleep(500 * time.Millisecond)
+	for i := range 64 {
+		clients.Go(func() { r.send("order-msg", fmt.Sprintf("%032x", i), 7+i%4/3, 6*time.Second, "order confirmation") })
+		time.Sleep(250 * time.Millisecond)
 	}
 	clients.Wait()
 	w.log("relay: %s", r.metrics("svc.reloads"))
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -315,7 +316,13 @@
 	if key != "" {
 		req.Header.Set("Idempotency-Key", key)
 	}
-	resp, err := clientHTTP.Do(req)
+	// A request's time counts from its last byte.
+	trace := &httptrace.ClientTrace{WroteRequest: func(httptrace.WroteRequestInfo) {
+		w.mu.Lock()
+		m.due = time.Now().Add(deadline)
+		w.mu.Unlock()
+	}}
+	resp, err := clientHTTP.Do(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if err != nil {
