--- a/review/standin/endpoint.go
+++ b/review/standin/endpoint.go
@@ -7,8 +7,8 @@
 	"time"
 )
 
-// newEndpoint starts a sound endpoint that runs each call for the given time and answers 200. For the time shut, from
-// now on, it is shut: it answers 503 and runs nothing.
+// newEndpoint starts a sound endpoint that runs each call for the given time and answers 200. A message that no client
+// handed in gets 400. For the time shut, from now on, the endpoint is shut: it answers 503 and runs nothing.
 func (w *world) newEndpoint(name string, dest int, takes, shut time.Duration) (server, error) {
 	opensAt := time.Now().Add(shut)
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
@@ -25,10 +25,16 @@
 		}
 		w.mu.Lock()
 		w.logLocked("%s: call with %s and the body %q", name, id, body)
-		if w.messages[id] == nil {
+		stray := w.messages[id] == nil
+		if stray {
 			w.strays[id]++
+			w.logLocked("%s: %s is answered 400, no client handed it in", name, id)
 		}
 		w.mu.Unlock()
+		if stray {
+			rw.WriteHeader(http.StatusBadRequest)
+			return
+		}
 		if time.Now().Before(opensAt) {
 			rw.WriteHeader(http.StatusServiceUnavailable)
 			return
@@ -36,7 +42,7 @@
 		time.Sleep(takes)
 		w.mu.Lock()
 		if m := w.messages[id]; m != nil {
-			if m.runs++; m.deliveredAt.IsZero() {
+			if m.runs++; m.deliveredAt.IsZero() && req.Context().Err() == nil { // the relay still waits for the answer
 				m.deliveredAt = time.Now()
 			}
 		}
@@ -63,7 +69,7 @@
 		accepted++
 		limit := m.due.Add(endSlack)
 		inTime := func(at time.Time) bool { return !at.IsZero() && !at.After(limit) }
-		if inTime(m.deliveredAt) || inTime(m.noticeAt) {
+		if time.Now().Before(limit) || inTime(m.deliveredAt) || inTime(m.noticeAt) {
 			continue
 		}
 		broken++
