--- a/internal/fleet/member.go
+++ b/internal/fleet/member.go
@@ -96,7 +96,7 @@
 	if err != nil {
 		return fmt.Errorf("settings: %w", err)
 	}
-	if err := settings.CheckComplete(m.file.Raw, adapted); err != nil {
+	if err := settings.CheckComplete(adapted); err != nil {
 		return fmt.Errorf("settings: %w", err)
 	}
 	parsed, err := settings.Parse(adapted)
--- a/internal/relay/notice_sender.go
+++ b/internal/relay/notice_sender.go
@@ -30,7 +30,7 @@
 // Queuing a notice never waits for the platform, and batches do not wait for one that gets no answer. The connections
 // are used for nothing else: a connection to discovery that gets no answers must not delay a notice.
 type noticeSender struct {
-	platform   *discovery.Address
+	addresses  noticeAddresses
 	transport  *http.Transport
 	onSending  func([]notice) // called with the notices that leave the queue, by any goroutine
 	onAccepted func([]notice) // called with the notices that the platform has accepted, by any goroutine
@@ -44,7 +44,7 @@
 }
 
 func newNoticeSender(platform *discovery.Address, dial dialFunc, onSending, onAccepted func([]notice)) *noticeSender {
-	sender := &noticeSender{platform: platform, onSending: onSending, onAccepted: onAccepted, queued: make(chan struct{}, 1),
+	sender := &noticeSender{addresses: noticeAddresses{platform: platform}, onSending: onSending, onAccepted: onAccepted, queued: make(chan struct{}, 1),
 		slots: make(chan struct{}, maxNoticeBatches), hedges: make(chan struct{}, maxNoticeHedges)}
 	sender.transport = &http.Transport{DisableCompression: true, IdleConnTimeout: idleConnTimeout, MaxIdleConnsPerHost: 1,
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
--- a/internal/relay/reload.go
+++ b/internal/relay/reload.go
@@ -8,7 +8,6 @@
 
 	"larchrouter/choice"
 	"larchrouter/internal/discovery"
-	"larchrouter/internal/fleet"
 	"larchrouter/internal/settings"
 )
 
@@ -68,43 +67,44 @@
 	return updated
 }
 
-// Reload applies the configuration file anew: its settings and the address of discovery. On an error nothing changes.
+// Reload applies the configuration file anew: its settings and the address of discovery. On an error nothing changes,
+// but notices that the address in use does not take are tried at the one that the rejected file names: the platform
+// may have moved with that file all the same.
 func (r *Relay) Reload(env func(string) string) (err error) {
 	defer func() { r.metrics.countReload(err) }()
-	data, discoveryAddr, file, err := readReloadedConfig(env, r.config.fileData)
+	next, namedAddr, err := readReloadedConfig(env, &r.config)
 	if err != nil {
+		r.notices.addresses.setAlternate(namedAddr)
 		return err
 	}
 	done := make(chan error, 1)
-	r.post(func() { done <- r.applyConfig(file, discoveryAddr) })
+	r.post(func() { done <- r.applyConfig(next) })
 	select {
 	case err = <-done:
 	case <-r.quit:
 		err = fmt.Errorf("the relay is stopping")
 	}
-	if err == nil {
-		r.config.fileData = data
-	}
 	return err
 }
 
 // applyConfig applies a reloaded file. It runs in the loop.
-func (r *Relay) applyConfig(file fleet.File, discoveryAddr string) error {
+func (r *Relay) applyConfig(next reloadedConfig) error {
 	if r.nextProcess != nil {
 		return errHandedOver
 	}
-	if oldAddr, _ := r.platformAddr.Get(); discoveryAddr != oldAddr {
-		r.platformAddr.Set(discoveryAddr)
+	r.notices.addresses.setAlternate("")
+	if oldAddr, _ := r.platformAddr.Get(); next.discovery != oldAddr {
+		r.platformAddr.Set(next.discovery)
 		r.platformClient.CloseIdleConnections()
 		r.notices.transport.CloseIdleConnections()
-		slog.Info("discovery address changed", "to", discoveryAddr)
+		slog.Info("discovery address changed", "to", next.discovery)
 	}
 	if r.fleetConfig != nil { // the file applies only where no agreed settings can be used
-		r.fleetConfig.SetFile(file)
+		r.fleetConfig.SetFile(next.settings)
 		r.refreshAgreed()
 		return nil
 	}
-	r.applySettings(file.Settings)
+	r.applySettings(next.settings.Settings)
 	return nil
 }
 
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -1,9 +1,6 @@
 package settings
 
-import (
-	"fmt"
-	"slices"
-)
+import "fmt"
 
 // KeyError reports a key of the settings whose value is invalid.
 type KeyError struct {
@@ -47,16 +44,17 @@
 	classNames := map[string]bool{}
 	for i, k := range c.Classes {
 		classKey := func(key string) string { return fmt.Sprintf("classes[%d]/%s", i, key) }
+		_, knownEffect := effects[k.Effect]
 		switch {
 		case k.Name == "" || classNames[k.Name]:
 			return keyError(classKey("name"), "is %q, which is empty or stands twice", k.Name)
-		case !slices.Contains([]string{"idempotent", "deduplicated", "at_most_once"}, k.Effect):
+		case !knownEffect:
 			return keyError(classKey("effect"), "is %q, which is no effect", k.Effect)
 		case k.Aim <= 0:
 			return keyError(classKey("aim"), "is %g, must be above 0", k.Aim)
 		case k.GiveUp < k.Aim:
 			return keyError(classKey("give-up"), "is %g, must be at least the aim, %g", k.GiveUp, k.Aim)
-		case k.Effect == "deduplicated" && k.Window <= 0:
+		case k.Effect == effectDeduplicated && k.Window <= 0:
 			return keyError(classKey("window"), "is %g, must be above 0 where repeats are dropped", k.Window)
 		case k.Worth < 0:
 			return keyError(classKey("worth"), "is %g, must be at least 0", k.Worth)
