Remember every version of a class that clients may know, also across processes

Cause: activeSettings remembered the classes of one configuration back only, so the third file made the relay forget the first, and a process that starts or takes over knew the newest file only. Where the record may be lost or is too long, nothing is repeated for 2 s. It works because what counts is what clients may know, not how many files there were. retiredClassGrace is now earlierTermsGrace. TestDroppedClassesAreAcceptedTemporarily asks termsFor instead of classIndex, with the same times and one more.

--- a/internal/journal/compact.go
+++ b/internal/journal/compact.go
@@ -41,6 +41,9 @@
 		}
 		buf = appendFrame(buf, record)
 	}
+	if j.classTerms != nil {
+		buf = appendFrame(buf, Record{Op: OpClassTerms, ClassTerms: j.classTerms})
+	}
 	for _, state := range j.groups {
 		buf = appendFrame(buf, Record{Op: OpGroupState, GroupState: &state})
 	}
@@ -138,6 +141,14 @@
 // Size returns the length of the file in bytes.
 func (j *Journal) Size() int64 { return j.fileBytes }
 
+// ClassTerms returns the recorded terms of the classes; the second result is false if the journal has none.
+func (j *Journal) ClassTerms() (terms ClassTerms, ok bool) {
+	if j.classTerms == nil {
+		return terms, false
+	}
+	return *j.classTerms, true
+}
+
 // Outages iterates over the hosts that are in an outage or cold after one.
 func (j *Journal) Outages() iter.Seq2[string, Record] { return maps.All(j.outages) }
 
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -41,6 +41,8 @@
 	disabledHosts  map[string]Record     // hosts that operators disabled or recently enabled again
 	retryAfters    map[string]Record     // waits that hosts asked for
 	groups         map[uint64]GroupState // states of replication groups
+	classTerms     *ClassTerms           // nil for none
+	classTermsSize int64                 // bytes of their record
 	order          []orderEntry          // order of acceptance; compaction drops ended messages, and an id may be accepted again before that
 	lastSequence   uint64
 	damaged        bool  // intact records followed bytes that could not be read
@@ -141,6 +143,9 @@
 			j.compactedBytes += historyBytes
 		}
 		j.retryAfters[record.ID] = record
+	case record.Op == OpClassTerms && record.ClassTerms != nil:
+		j.compactedBytes += recordBytes - j.classTermsSize
+		j.classTerms, j.classTermsSize = record.ClassTerms, recordBytes
 	case record.Op == OpGroupState && record.GroupState != nil:
 		j.setGroupState(*record.GroupState)
 	case record.Op == OpGroupNext:
@@ -193,6 +198,8 @@
 			reserve = j.reserveBytes
 		case OpHealth, OpDisabled, OpRetryAfter:
 			growth += historyBytes
+		case OpClassTerms:
+			growth += recordBytes[i]
 		case OpGroupState:
 			growth += groupStateBytes
 		}
--- a/internal/journal/records.go
+++ b/internal/journal/records.go
@@ -47,6 +47,7 @@
 	OpHealth     = "health"  // ID is a host; Flag: it is in an outage, else the outage is over
 	OpDisabled   = "hand"    // ID is a host; Flag: operators disabled it at At, else enabled it
 	OpRetryAfter = "wait"    // ID is a host that at At asked to be sent nothing for WaitMs
+	OpClassTerms = "classes" // ClassTerms are the terms that clients may know
 	OpGroupState = "mark"    // GroupState is the state of a replication group
 	OpGroupNext  = "count"   // Group has NextRecord records, including those of this write
 )
@@ -67,6 +68,22 @@
 	Group        uint64      `json:"t,omitempty"`
 	NextRecord   uint64      `json:"q,omitempty"`
 	GroupState   *GroupState `json:"m,omitempty"`
+	ClassTerms   *ClassTerms `json:"c,omitempty"`
+}
+
+// ClassTerms are the terms of the classes by which clients may submit messages.
+type ClassTerms struct {
+	Current    []choice.Terms `json:"current,omitempty"`
+	Earlier    []EarlierTerms `json:"earlier,omitempty"`    // of settings that were replaced, in the order of their replacement
+	Unrecorded bool           `json:"unrecorded,omitempty"` // the terms were too long to be recorded
+	// UnknownUntil is when clients no longer know terms whose record was lost, in Unix milliseconds; 0 if none was.
+	UnknownUntil int64 `json:"unknown_until,omitempty"`
+}
+
+// EarlierTerms are terms that clients know until a time in Unix milliseconds at most.
+type EarlierTerms struct {
+	Terms choice.Terms `json:"terms"`
+	Until int64        `json:"until"`
 }
 
 // GroupState is what the owner or a replica records of a replication group besides its messages.
--- a/internal/relay/acceptance_test.go
+++ b/internal/relay/acceptance_test.go
@@ -33,7 +33,7 @@
 	defer r.tcpListener.Close()
 	defer r.cancelCalls(errStopping)
 	in := &apiRequest{entry: &journal.Entry{ID: "m1", Class: "status-update", Dest: 7, Due: time.Now().Add(time.Minute).UnixMilli(),
-		Terms: r.settings.Load().termsFor(r.settings.Load().classIndex("status-update", 0), true, 0)},
+		Terms: r.settings.Load().termsFor("status-update", true, 0)},
 		due: r.now() + time.Minute, ctx: context.Background(), reply: make(chan apiResponse)}
 	stepped := make(chan bool)
 	go func() { r.submit(in); r.step(); close(stepped) }()
--- a/internal/relay/api.go
+++ b/internal/relay/api.go
@@ -137,15 +137,13 @@
 // messageTerms returns the terms of a message's class, or an error for the client if the message does not meet the
 // class's requirements.
 func messageTerms(active *activeSettings, entry *journal.Entry, now time.Duration) (*choice.Terms, error) {
-	class := active.classIndex(entry.Class, now)
+	terms := active.termsFor(entry.Class, entry.Key != "", now)
 	switch {
-	case class < 0:
+	case terms == nil:
 		return nil, errors.New("X-Class is missing or unknown")
 	case entry.Key != "" && !isValidName(entry.Key):
 		return nil, errors.New("Idempotency-Key is malformed")
-	}
-	terms := active.termsFor(class, entry.Key != "", now)
-	if entry.Key == "" && terms.Class.Effect == choice.Keyed {
+	case entry.Key == "" && terms.Class.Effect == choice.Keyed:
 		return nil, errors.New("Idempotency-Key is missing")
 	}
 	return terms, nil
--- a/internal/relay/records.go
+++ b/internal/relay/records.go
@@ -93,7 +93,7 @@
 		// The process died before the outcome was recorded: the message may have run.
 		r.record(journal.Record{Op: journal.OpOutcome, ID: id, Flag: true})
 	}
-	class := r.settings.Load().classIndex(entry.Class, 0)
+	class := r.settings.Load().classIndex(entry.Class)
 	if class < 0 && entry.Terms == nil { // accepted by a version that did not record the terms
 		r.endWithNotice(&message{Entry: entry}, notice{ID: entry.ID, Status: undeliverable})
 		return
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -138,6 +138,7 @@
 	if relay.journal, err = journal.Open(config.StateDir, config.journalBytes()); err != nil {
 		return nil, err
 	}
+	relay.resumeClassTerms()
 	if err = relay.openBacklog(); err != nil {
 		return nil, err
 	}
--- a/internal/relay/reload_test.go
+++ b/internal/relay/reload_test.go
@@ -35,8 +35,8 @@
 // Guards against settings that are not applied, or only in part; against open messages that change with them; and
 // against rejecting clients that do not know yet that their class was removed.
 func TestReload(t *testing.T) {
-	defer func(d time.Duration) { retiredClassGrace = d }(retiredClassGrace)
-	retiredClassGrace = time.Hour
+	defer func(d time.Duration) { earlierTermsGrace = d }(earlierTermsGrace)
+	earlierTermsGrace = time.Hour
 	calls := make(chan *receivedCall, 10)
 	host := testEndpoint("s-1", newFakeHost(t, "a", calls), "taller")
 	p, moved := newFakePlatform(t, host), newFakePlatform(t, host)
@@ -102,18 +102,25 @@
 		}
 		return set
 	}
+	known := func(active *activeSettings, class string, now time.Duration) bool {
+		return active.termsFor(class, false, now) != nil
+	}
 	active := (&activeSettings{}).replacedBy(parse("a", "b"), 0)
-	want(t, "a", active.classIndex("a", time.Hour), 0)
+	want(t, "a", known(active, "a", time.Hour), true)
 	active = active.replacedBy(parse("b", "c"), time.Minute)
-	want(t, "a within the grace period", active.classIndex("a", time.Minute+retiredClassGrace-1), 2)
-	want(t, "a after the grace period", active.classIndex("a", time.Minute+retiredClassGrace), -1)
-	want(t, "c", active.classIndex("c", time.Minute), 1)
-	later := time.Minute + retiredClassGrace/2
+	want(t, "a within the grace period", known(active, "a", time.Minute+earlierTermsGrace-1), true)
+	want(t, "a after the grace period", known(active, "a", time.Minute+earlierTermsGrace), false)
+	want(t, "c", known(active, "c", time.Minute), true)
+	want(t, "index of c", active.classIndex("c"), 1)
+	want(t, "index of a, which is removed", active.classIndex("a"), 2)
+	later := time.Minute + earlierTermsGrace/2
 	active = active.replacedBy(parse("c"), later)
-	want(t, "a within the grace period", active.classIndex("a", time.Minute+retiredClassGrace-1), 2)
-	want(t, "a after the grace period, counted from its removal", active.classIndex("a", time.Minute+retiredClassGrace), -1)
-	want(t, "b", active.classIndex("b", time.Minute+retiredClassGrace), 1)
+	want(t, "a within the grace period", known(active, "a", time.Minute+earlierTermsGrace-1), true)
+	want(t, "a after the grace period, counted from its removal", known(active, "a", time.Minute+earlierTermsGrace), false)
+	want(t, "b", known(active, "b", time.Minute+earlierTermsGrace), true)
+	want(t, "b after the grace period", known(active, "b", later+earlierTermsGrace), false)
 	active = active.replacedBy(parse("a", "c"), time.Hour)
-	want(t, "a is back", active.classIndex("a", 2*time.Hour), 0)
+	want(t, "a is back", known(active, "a", 2*time.Hour), true)
+	want(t, "index of a", active.classIndex("a"), 0)
 	want(t, "classes", len(active.Classes), 2)
 }
--- a/internal/relay/request_settings_test.go
+++ b/internal/relay/request_settings_test.go
@@ -15,8 +15,8 @@
 // Guards against judging a request by settings that were reloaded while it arrived: its class may have another index,
 // name or effect there, or be gone.
 func TestRequestKeepsSettingsOfItsFirstByte(t *testing.T) {
-	defer func(d time.Duration) { retiredClassGrace = d }(retiredClassGrace)
-	retiredClassGrace = 0 // nothing but the requests themselves refers to the old settings
+	defer func(d time.Duration) { earlierTermsGrace = d }(earlierTermsGrace)
+	earlierTermsGrace = 0 // nothing but the requests themselves refers to the old settings
 	for name, pairs := range map[string][]string{
 		"renamed":        {`"name":"status-update"`, `"name":"other"`},
 		"another effect": {`"effect":"idempotent"`, `"effect":"at_most_once"`},
@@ -92,12 +92,12 @@
 		{choice.Safe, choice.Keyed, false, choice.Safe}, {choice.Safe, choice.Keyed, true, choice.Keyed},
 	} {
 		active := follow(class(c.was, 9*time.Second), class(c.is, 9*time.Second))
-		want(t, fmt.Sprint(c, " while clients may know either version"), active.termsFor(0, c.keyed, time.Hour+retiredClassGrace-1).Class.Effect, c.want)
-		want(t, fmt.Sprint(c, " later"), active.termsFor(0, c.keyed, time.Hour+retiredClassGrace).Class.Effect, c.is)
+		want(t, fmt.Sprint(c, " while clients may know either version"), active.termsFor("a", c.keyed, time.Hour+earlierTermsGrace-1).Class.Effect, c.want)
+		want(t, fmt.Sprint(c, " later"), active.termsFor("a", c.keyed, time.Hour+earlierTermsGrace).Class.Effect, c.is)
 	}
 	active := follow(class(choice.Keyed, 9*time.Second), class(choice.Keyed, time.Second))
-	want(t, "window", active.termsFor(0, true, time.Hour).Class.Window, time.Second)
+	want(t, "window", active.termsFor("a", true, time.Hour).Class.Window, time.Second)
 	active = follow(class(choice.Keyed, time.Second), class(choice.Keyed, 9*time.Second))
-	want(t, "window", active.termsFor(0, true, time.Hour).Class.Window, time.Second)
-	want(t, "window after the grace period", active.termsFor(0, true, 2*time.Hour).Class.Window, 9*time.Second)
+	want(t, "window", active.termsFor("a", true, time.Hour).Class.Window, time.Second)
+	want(t, "window after the grace period", active.termsFor("a", true, 2*time.Hour).Class.Window, 9*time.Second)
 }
