Take requests of HTTP/1.1 with a certain end only, and read nothing behind any other

Cause: requireContentLength looked at req.TransferEncoding, which net/http leaves empty for HTTP/1.0; every version and a missing length were accepted, and a connection stayed open behind a malformed request. Change: internal/framing accepts HTTP/1.1 alone, no Transfer-Encoding, and a body with its length; any other request, one for no known path and a malformed message end their connection, and what follows is not read. Why it works: the inner text can become a request only if the relay goes on reading after an end that the sender may see elsewhere. Kin: the second address, keepers and replicas (version; chunked bodies stay allowed between relays).

--- /dev/null
+++ b/internal/framing/framing_test.go
@@ -0,0 +1,41 @@
+package framing
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+)
+
+// Guards against a call in the body of another one that a server of the fleet (a keeper, a replica) would act on.
+func TestRequireClosesAfterUnclearEnd(t *testing.T) {
+	served := make(chan string, 10)
+	server := httptest.NewServer(Require(Check, http.HandlerFunc(func(_ http.ResponseWriter, req *http.Request) { served <- req.URL.Path }), nil))
+	defer server.Close()
+	const inner = "POST /inner HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n"
+	for _, head := range []string{
+		"POST /outer HTTP/1.0\r\nConnection: keep-alive\r\nTransfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\n35\r\n",
+		"POST /outer HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		"POST /outer HTTP/1.5\r\nHost: a\r\nContent-Length: 0\r\n\r\n",
+	} {
+		conn, err := net.Dial("tcp", server.Listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		conn.SetDeadline(time.Now().Add(3 * time.Second))
+		io.WriteString(conn, head+inner)
+		reader := bufio.NewReader(conn)
+		answer, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		io.Copy(io.Discard, answer.Body)
+		if _, more := reader.ReadByte(); answer.StatusCode < 400 || more != io.EOF || len(served) > 0 {
+			t.Errorf("%q: status %d, then %v, %d requests served, want an error, the end of the connection and none", head, answer.StatusCode, more, len(served))
+		}
+		conn.Close()
+	}
+}
--- a/internal/relay/admin.go
+++ b/internal/relay/admin.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"larchrouter/choice"
+	"larchrouter/internal/framing"
 	"larchrouter/internal/journal"
 	"larchrouter/internal/listen"
 	"larchrouter/internal/steady"
@@ -34,7 +35,7 @@
 	mux.HandleFunc("GET /metrics", r.serveMetrics)
 	mux.HandleFunc("PUT /endpoints/disable/{id}", r.serveSetDisabled(true))
 	mux.HandleFunc("PUT /endpoints/enable/{id}", r.serveSetDisabled(false))
-	r.adminServer = newHTTPServer(requireContentLength(mux), limited)
+	r.adminServer = newHTTPServer(framing.Require(framing.Check, mux, nil), limited) // one call per connection, so a missing length does no harm
 	r.adminServer.ReadTimeout, r.adminServer.WriteTimeout = adminTimeout, adminTimeout
 	r.adminServer.SetKeepAlivesEnabled(false)
 	r.adminAddr = tcpListener.Addr()
--- a/internal/relay/api.go
+++ b/internal/relay/api.go
@@ -47,7 +47,7 @@
 	arrivedAt := r.now() - sinceArrival(netConnOf(req))
 	apiReq, status, err := r.readAPIRequest(w, req, arrivedAt)
 	if err != nil {
-		r.closeIfStopping(w)
+		closeAfterMalformed(w, req)
 		http.Error(w, err.Error(), status)
 		return
 	}
--- a/internal/relay/conn_close.go
+++ b/internal/relay/conn_close.go
@@ -37,7 +37,7 @@
 // request that has begun and that no handler answers is refused first, including one pipelined behind the last
 // request that the server answers. The caller holds the mutex.
 func (c *inboundConn) beginClose() {
-	mustRefuse := (c.hasUnansweredRequest() || c.pipelined) && !c.remoteClosed
+	mustRefuse := (c.hasUnansweredRequest() || c.pipelined) && !c.remoteClosed && !c.restIgnored
 	c.locallyClosed, c.closeRequested, c.stateSince = true, false, time.Now()
 	c.listener.lingering++
 	c.listener.changed.Broadcast()
--- a/internal/relay/conn_close_test.go
+++ b/internal/relay/conn_close_test.go
@@ -48,7 +48,7 @@
 		markSubmitter(req)
 		w.WriteHeader(http.StatusAccepted)
 	})
-	server.httpServer = newHTTPServer(requireContentLength(mux), server.limitListener)
+	server.httpServer = newHTTPServer(requireClearFraming(mux), server.limitListener)
 	go server.httpServer.Serve(server.limitListener)
 	t.Cleanup(func() { server.httpServer.Close() })
 	return server
--- a/internal/relay/inbound_conn.go
+++ b/internal/relay/inbound_conn.go
@@ -22,6 +22,7 @@
 	handling         bool      // a handler has the current request and will answer it
 	received         int64     // bytes read since the current request began, including those of a pipelined one
 	pipelined        bool      // the first byte of the request behind the current one has arrived
+	restIgnored      bool      // the current request is malformed, so what follows it is not known to be a request
 	served           bool      // an earlier request was served
 	submittedMessage bool      // a message was accepted from it
 	locallyClosed    bool      // this side has closed its sending direction; nothing is served any more
--- a/internal/relay/pipelined.go
+++ b/internal/relay/pipelined.go
@@ -36,6 +36,19 @@
 	}
 	c.listener.mu.Lock()
 	defer c.listener.mu.Unlock()
+	if c.restIgnored {
+		return
+	}
 	c.received = max(0, c.received-size)
 	c.pipelined = c.pipelined || c.received > 0
 }
+
+// ignoreRest has the connection end after the response to the current request without a refusal for what follows it.
+func (c *inboundConn) ignoreRest() {
+	if c == nil {
+		return
+	}
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
+	c.restIgnored = true
+}
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -1,6 +1,10 @@
 package relay
 
-import "net/http"
+import (
+	"net/http"
+
+	"larchrouter/internal/framing"
+)
 
 // newHTTPServer returns a server for the connections of a listener.
 func newHTTPServer(handler http.Handler, listener *limitListener) *http.Server {
@@ -13,7 +17,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /up", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("POST /api", r.serveAPI)
-	return r.closeWhileStopping(requireContentLength(mux))
+	return r.closeWhileStopping(requireClearFraming(mux))
 }
 
 // closeWhileStopping closes connections after their responses while the relay stops.
@@ -24,19 +28,22 @@
 	})
 }
 
-// requireContentLength serves only requests whose length is given by Content-Length, as it is by every client. If
-// there is a Transfer-Encoding as well, net/http follows it and hides the Content-Length, so what the sender regards
-// as the rest of the body would be read as the next request. The connection is closed with the response, because
-// nobody knows where the next request begins.
-func requireContentLength(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
-		if len(req.TransferEncoding) > 0 {
-			w.Header().Set("Connection", "close")
-			http.Error(w, "Transfer-Encoding is not accepted", http.StatusLengthRequired)
-			return
+// requireClearFraming serves only requests whose end is certain and that the mux knows. Clients send no others, so the
+// connection is closed with the answer to any other, and what follows on it is not read as a request.
+func requireClearFraming(mux *http.ServeMux) http.Handler {
+	known := http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		if _, pattern := mux.Handler(req); pattern == "" {
+			closeAfterMalformed(w, req)
 		}
-		next.ServeHTTP(w, req)
+		mux.ServeHTTP(w, req)
 	})
+	return framing.Require(framing.CheckLength, known, func(req *http.Request) { inboundConnOf(req).ignoreRest() })
+}
+
+// closeAfterMalformed closes the connection of a malformed request with the answer to it.
+func closeAfterMalformed(w http.ResponseWriter, req *http.Request) {
+	inboundConnOf(req).ignoreRest()
+	w.Header().Set("Connection", "close")
 }
 
 // closeIfStopping closes a client's connection with the response that follows once the relay stops or the next
--- a/internal/replication/serve.go
+++ b/internal/replication/serve.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"time"
 
+	"larchrouter/internal/framing"
 	"larchrouter/internal/journal"
 	"larchrouter/internal/listen"
 	"larchrouter/internal/remedy"
@@ -21,7 +22,7 @@
 	handle(s, mux, PromisePath, s.promise)
 	handle(s, mux, DropPath, s.drop)
 	s.listener = listener
-	s.server = &http.Server{Handler: mux, ReadTimeout: 5 * time.Second, WriteTimeout: 5 * time.Second, IdleTimeout: time.Minute, MaxHeaderBytes: 8 << 10}
+	s.server = &http.Server{Handler: framing.Require(framing.CheckVersion, mux, nil), ReadTimeout: 5 * time.Second, WriteTimeout: 5 * time.Second, IdleTimeout: time.Minute, MaxHeaderBytes: 8 << 10}
 	go s.server.Serve(listen.Retrying(listener))
 }
 
