Pass on no byte beyond an answer, so that a surplus is no other call's answer

Cause: net/http puts a connection among the idle ones when a body has ended, and looks for more input after that; a call that takes it in between finds the surplus in its buffer. hostConn saw the bytes only as they came, with the answer. Change: internal/clientconn follows each answer to its end and passes on nothing beyond it; a surplus ends the input, so net/http does not keep the connection. Before a request it reads once without blocking, at endpoints 1 ms after the answer before. Reading and telling whose bytes they are is one step under a lock. All clients of a relay use it.

--- a/internal/relay/agreement.go
+++ b/internal/relay/agreement.go
@@ -11,6 +11,7 @@
 
 	"crypto/rand"
 
+	"larchrouter/internal/clientconn"
 	"larchrouter/internal/fleet"
 	"larchrouter/internal/fleet/lease"
 	"larchrouter/internal/keeper/api"
@@ -58,8 +59,8 @@
 
 // newKeeperSession returns the session with the keepers. It passes their answers to the loop.
 func (r *Relay) newKeeperSession() *fleet.Session {
-	transport := &http.Transport{DisableCompression: true, IdleConnTimeout: idleConnTimeout, DialContext: newDialer(r.config.SourceIP, 0).DialContext,
-		MaxIdleConnsPerHost: 2, MaxConnsPerHost: 2}
+	transport := clientconn.NewTransport(&http.Transport{DisableCompression: true, IdleConnTimeout: idleConnTimeout, DialContext: newDialer(r.config.SourceIP, 0).DialContext,
+		MaxIdleConnsPerHost: 2, MaxConnsPerHost: 2})
 	return &fleet.Session{Client: &api.Client{HTTP: &http.Client{Transport: transport}, Keepers: r.config.Fleet.Keepers}, Name: r.config.Name,
 		Zone: r.config.Fleet.Zone, Version: buildVersion(), Seed: r.config.Seed, Instance: r.fleetConfig.Instance, PreviousInstance: r.fleetConfig.PreviousInstance,
 		FleetSize: func() int { return r.settings.Load().Fleet }, Now: r.now, HandleAnswer: r.handleKeeperAnswer}
--- a/internal/relay/calls.go
+++ b/internal/relay/calls.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"larchrouter/choice"
+	"larchrouter/internal/clientconn"
 	"larchrouter/internal/settings"
 )
 
@@ -21,6 +22,9 @@
 	errStopping  = errors.New("relay is stopping")
 )
 
+// answerSettleTime is how long an endpoint's connection rests after an answer, for a surplus that follows separately.
+const answerSettleTime = time.Millisecond
+
 // newHostTransport returns the HTTP transport for calls to hosts, with at most maxIdleConns idle connections.
 func newHostTransport(settings *settings.Settings, maxIdleConns int, dial dialFunc) *http.Transport {
 	return &http.Transport{
@@ -29,7 +33,8 @@
 			if err != nil {
 				return nil, err
 			}
-			return &hostConn{Conn: conn}, nil
+			guarded := clientconn.New(conn, answerSettleTime)
+			return &hostConn{Conn: guarded, guard: guarded}, nil
 		},
 		MaxIdleConns: maxIdleConns,
 		// A single host may be given all call slots; net/http's default of 2 would close all but two of the connections
--- a/internal/relay/hostconn.go
+++ b/internal/relay/hostconn.go
@@ -4,6 +4,8 @@
 	"errors"
 	"net"
 	"sync/atomic"
+
+	"larchrouter/internal/clientconn"
 )
 
 // hostConn is a connection to a host. It reports when the last byte of a request is written, which httptrace reports
@@ -11,6 +13,7 @@
 // counts even if the rest of the answer does not arrive.
 type hostConn struct {
 	net.Conn
+	guard      *clientconn.Conn            // the same connection below any other layers; nil in tests
 	writing    atomic.Pointer[hostRequest] // the request that is being written
 	unanswered atomic.Pointer[hostRequest] // the request whose writing has started, and whose answer is not complete
 }
@@ -24,6 +27,11 @@
 		return c.Conn.Write(p)
 	}
 	if c.unanswered.Load() != request {
+		if c.guard != nil {
+			if err := c.guard.StartRequest(); err != nil {
+				return 0, err
+			}
+		}
 		if request.admit != nil {
 			leave, err := request.admit()
 			if err != nil {
--- a/internal/relay/notice_sender.go
+++ b/internal/relay/notice_sender.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"larchrouter/internal/clientconn"
 	"larchrouter/internal/discovery"
 )
 
@@ -31,7 +32,7 @@
 // are used for nothing else: a connection to discovery that gets no answers must not delay a notice.
 type noticeSender struct {
 	addresses  noticeAddresses
-	transport  *http.Transport
+	transport  *clientconn.Transport
 	onSending  func([]notice) // called with the notices that leave the queue, by any goroutine
 	onAccepted func([]notice) // called with the notices that the platform has accepted, by any goroutine
 
@@ -46,10 +47,10 @@
 func newNoticeSender(platform *discovery.Address, dial dialFunc, onSending, onAccepted func([]notice)) *noticeSender {
 	sender := &noticeSender{addresses: noticeAddresses{platform: platform}, onSending: onSending, onAccepted: onAccepted, queued: make(chan struct{}, 1),
 		slots: make(chan struct{}, maxNoticeBatches), hedges: make(chan struct{}, maxNoticeHedges)}
-	sender.transport = &http.Transport{DisableCompression: true, IdleConnTimeout: idleConnTimeout, MaxIdleConnsPerHost: 1,
+	sender.transport = clientconn.NewTransport(&http.Transport{DisableCompression: true, IdleConnTimeout: idleConnTimeout, MaxIdleConnsPerHost: 1,
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 			return dial(attemptContext(ctx), network, addr)
-		}}
+		}})
 	return sender
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"larchrouter/choice"
+	"larchrouter/internal/clientconn"
 	"larchrouter/internal/discovery"
 	"larchrouter/internal/fleet"
 	"larchrouter/internal/journal"
@@ -85,7 +86,7 @@
 		quit:           make(chan struct{}), loopEnded: make(chan struct{}), wakeTimer: time.NewTimer(time.Hour)}
 	maxClients, maxIdleHostConns := config.connectionLimits(settings.Workers)
 	relay.hostTransport.Store(newHostTransport(&settings, maxIdleHostConns, relay.newDialFunc(settings.DialTimeout)))
-	relay.platformClient = &http.Client{Transport: &http.Transport{DisableCompression: true, IdleConnTimeout: idleConnTimeout, DialContext: relay.newDialFunc(0)}}
+	relay.platformClient = &http.Client{Transport: clientconn.NewTransport(&http.Transport{DisableCompression: true, IdleConnTimeout: idleConnTimeout, DialContext: relay.newDialFunc(0)})}
 	relay.notices = newNoticeSender(relay.platformAddr, relay.newDialFunc(noticeTimeout), relay.noticesSending, relay.noticesAccepted)
 	listSource := &discovery.Platform{Client: relay.platformClient, Address: relay.platformAddr, Seed: config.Seed, HasList: config.InitialList.Full, Version: config.InitialList.Version,
 		LeaseChanged: relay.leaseRenewed,
--- a/internal/relay/replication_run.go
+++ b/internal/relay/replication_run.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"larchrouter/internal/clientconn"
 	"larchrouter/internal/fleet"
 	"larchrouter/internal/keeper/api"
 	"larchrouter/internal/remedy"
@@ -128,14 +129,20 @@
 // newGroupOwner creates the owner that keeps a replicating relay up to date with the keepers and replicas.
 func (r *Relay) newGroupOwner() {
 	rep := r.replication
-	transport := &http.Transport{DisableCompression: true, IdleConnTimeout: idleConnTimeout, DialContext: newDialer(r.config.SourceIP, time.Second).DialContext,
-		MaxIdleConnsPerHost: 4}
+	transport := clientconn.NewTransport(&http.Transport{DisableCompression: true, IdleConnTimeout: idleConnTimeout, DialContext: newDialer(r.config.SourceIP, time.Second).DialContext,
+		MaxIdleConnsPerHost: 4})
 	rep.client = &http.Client{Transport: transport}
-	keeperClient := &api.Client{HTTP: &http.Client{Transport: &http.Transport{DisableCompression: true, IdleConnTimeout: idleConnTimeout,
-		DialContext: newDialer(r.config.SourceIP, time.Second).DialContext, MaxIdleConnsPerHost: 1}}, Keepers: r.config.Fleet.Keepers}
+	keeperClient := r.newGroupKeeperClient()
 	rep.owner = &replication.Owner{Name: r.config.Name, Instance: r.fleetConfig.Instance, AdoptedWriter: rep.adoptedWriter, Copies: rep.config.Copies, Client: rep.client, Records: (*groupRecords)(r),
 		SendEvent: func(ctx context.Context, event state.Event) (owned []*state.Group, err error) {
 			err = keeperClient.Call(ctx, http.MethodPost, api.GroupsPath, event, &owned)
 			return owned, err
 		}}
 }
+
+// newGroupKeeperClient returns the client for calls to the keepers about replication groups.
+func (r *Relay) newGroupKeeperClient() *api.Client {
+	transport := clientconn.NewTransport(&http.Transport{DisableCompression: true, IdleConnTimeout: idleConnTimeout,
+		DialContext: newDialer(r.config.SourceIP, time.Second).DialContext, MaxIdleConnsPerHost: 1})
+	return &api.Client{HTTP: &http.Client{Transport: transport}, Keepers: r.config.Fleet.Keepers}
+}
