Serve ends after the writer of the list's lease; a test no longer races with it

TestLostLeaseCountsAsExpired failed in 2 of 3 runs of the package side by side. Trace: 24 processes, 15 runs each, of the code before: 16 times "remove list: no such file", 13 times "m2 was sent". The first: a call may go out before the lease is stored for the first time, and the test stopped the relay at once. The second: the goroutine that follows the list outlived Serve's loop, and stored the old process's lease after the test had damaged the file, so the next process found a sound one. Within one process that ends there is no fault in service: a stopped process writes no more. Change: Serve waits for that goroutine, and the test waits for the stored lease and for Serve. What it checks is the same.

--- a/internal/relay/leasewrites_test.go
+++ b/internal/relay/leasewrites_test.go
@@ -158,11 +158,19 @@
 		t.Run(name, func(t *testing.T) {
 			platform := newFakePlatform(t, testEndpoint("s-1", newFakeHost(t, "a", calls), "taller"))
 			dir := t.TempDir()
-			before := startRelay(t, platform, func(c *Config) { c.StateDir = dir })
+			config, err := readTestConfig(t, testConfig(t, platform), dir)
+			if err != nil {
+				t.Fatal(err)
+			}
+			before, err := New(config)
+			if err != nil {
+				t.Fatal(err)
+			}
+			stop := serveUntilStopped(t, before)
 			postMessage(t, before.Addr(), "m1", "payment")
 			receive(t, calls, "call").answer <- 200
-			before.stop()
-			<-before.loopEnded
+			awaitFile(t, filepath.Join(dir, leaseFile)) // a call may go out before the lease is stored
+			stop()
 			platform.mu.Lock()
 			platform.refuseLists = true
 			platform.mu.Unlock()
@@ -180,3 +188,14 @@
 		})
 	}
 }
+
+// awaitFile waits until a file exists.
+func awaitFile(t *testing.T, path string) {
+	t.Helper()
+	for end := time.Now().Add(30 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if _, err := os.Stat(path); err == nil {
+			return
+		}
+	}
+	t.Fatalf("%s does not exist after 30 s", path)
+}
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -8,7 +8,8 @@
 	"larchrouter/internal/discovery"
 )
 
-// Serve runs the relay until Drain has stopped it.
+// Serve runs the relay until Drain has stopped it. When it returns, nothing of this process writes to the state directory any
+// more.
 func (r *Relay) Serve() {
 	ctx, cancel := context.WithCancel(context.Background())
 	r.cancelPlatform = cancel
@@ -16,7 +17,10 @@
 		r.followPrevious(r.previousProcess)
 	}
 	r.listenForNextProcess()
-	go r.listSource.Follow(ctx, func(l discovery.List) { r.post(func() { r.applyList(l) }) })
+	var following sync.WaitGroup // the list's lease is stored from there
+	following.Go(func() {
+		r.listSource.Follow(ctx, func(l discovery.List) { r.post(func() { r.applyList(l) }) })
+	})
 	go r.notices.run(ctx)
 	if r.fleetConfig != nil {
 		go r.runReplication(ctx, r.newKeeperSession())
@@ -35,6 +39,7 @@
 	r.cancelCalls(errStopping)
 	r.closeAfterResponse.Store(true)
 	r.closeConnections()
+	following.Wait()
 }
 
 // closeConnections closes the connections at both addresses concurrently, since time is short.
