A replica that was closed opens no copy again

Cause: a call that was read before Close opened its group's copy anew after it. In an upgrade that folder belongs to the next process by then, so two processes could write one copy. Evidence: TestClosedReplicaOpensNoCopy before: "error <nil>, want a refusal"; 16 processes side by side of the code before: 2 failures of the test above. Change: after Close a call is refused as by a copy that is closed. Measured: replication passes; 12 processes, 6 runs each, of the test above passed.

--- a/internal/replication/replica.go
+++ b/internal/replication/replica.go
@@ -37,10 +37,14 @@
 
 	mu       sync.Mutex
 	copies   map[uint64]*storedCopy
+	closed   bool // by Close: the folder may belong to the next process
 	server   *http.Server
 	listener net.Listener
 }
 
+// errReplicaStops refuses a call because this process no longer owns the copies.
+var errReplicaStops = &RefusedError{"this relay", http.StatusServiceUnavailable, "it stops", "nothing: it comes back, or is replaced"}
+
 // storedCopy is the copy of one group.
 type storedCopy struct {
 	mu      sync.Mutex
@@ -133,6 +137,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.closed = true
 	for _, c := range s.copies {
 		c.mu.Lock()
 		c.closed = true
@@ -164,6 +169,9 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.closed {
+		return nil, errReplicaStops
+	}
 	return s.openCopy(id)
 }
 
@@ -199,7 +207,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed {
-		return 0, nil, &RefusedError{"this relay", http.StatusServiceUnavailable, "it stops", "nothing: it comes back, or is replaced"}
+		return 0, nil, errReplicaStops
 	}
 	updated, skip := c.state, uint64(0)
 	if batch.Whole {
--- a/internal/replication/replica_test.go
+++ b/internal/replication/replica_test.go
@@ -333,3 +333,27 @@
 		}
 	})
 }
+
+// Guards against a call that opens a copy again after Close: in an upgrade its folder belongs to the next process by then.
+func TestClosedReplicaOpensNoCopy(t *testing.T) {
+	dir := t.TempDir()
+	server, err := OpenReplicaServer(dir, 1<<23)
+	if err != nil {
+		t.Fatal(err)
+	}
+	batch := Batch{Group: 1, Epoch: 1, Writer: "w", First: 1, Whole: true}
+	if _, err := server.acceptBatch(t.Context(), batch); err != nil {
+		t.Fatal(err)
+	}
+	server.Close()
+	if err := os.RemoveAll(server.dir); err != nil {
+		t.Fatal(err)
+	}
+	var refused *RefusedError
+	if _, err := server.acceptBatch(t.Context(), batch); !errors.As(err, &refused) {
+		t.Errorf("error %v, want a refusal", err)
+	}
+	if _, err := os.Stat(server.dir); !os.IsNotExist(err) {
+		t.Errorf("the folder of the copies exists again: %v", err)
+	}
+}
