TestRelayContinuesAfterFailedHandover waits for the end of its calls before the upgrade

Trace: the fifth call is answered, and the upgrade may begin before the old process has counted its end; the next process counts it then, rightly. The test waits for the five ends at the old process now; what it checks of the next one is the same.

--- a/internal/relay/handover_test.go
+++ b/internal/relay/handover_test.go
@@ -146,6 +146,7 @@
 		want(t, "id", c.id, id)
 		c.answer <- 200
 	}
+	awaitMetrics(t, old, "svc.requests.payment.served=5") // the next process counts what ends after the handover
 	postMessage(t, old.Addr(), "m9", "payment")
 	inFlight := receive(t, calls, "call")
 	next := upgrade(t, p, old)
