Terms are not taken for unknown right at the start of a relay's clock

A message in the first milliseconds of a process could get the terms of at_most_once: the time of a request is read from the kernel in coarse steps and may lie before the start of the relay's clock, and 0 stood for "nothing is unknown". Test: TestUnknownEarlierTermsForbidRepeats asks for a time before the start.

--- a/internal/relay/class_terms.go
+++ b/internal/relay/class_terms.go
@@ -54,7 +54,7 @@
 		}
 		terms.Attempts = min(terms.Attempts, other.Attempts)
 	}
-	if now < s.unknownUntil {
+	if s.unknownUntil > 0 && now < s.unknownUntil { // the time of a request may lie slightly before the start of the clock
 		terms.Class.Effect = choice.Unsafe
 	}
 	return &terms
--- a/internal/relay/class_terms_test.go
+++ b/internal/relay/class_terms_test.go
@@ -155,6 +155,7 @@
 	active, now := next.settings.Load(), next.now()
 	want(t, "effect at first", active.termsFor("status-update", false, now).Class.Effect, choice.Unsafe)
 	want(t, "effect later", active.termsFor("status-update", false, now+earlierTermsGrace).Class.Effect, choice.Safe)
+	want(t, "effect where nothing is unknown, right at the start", running.settings.Load().termsFor("class-0", false, -time.Millisecond).Class.Effect, choice.Safe)
 	if slices.ContainsFunc(active.earlier, func(e earlierTerms) bool { return e.Class.Name == "class-0" }) {
 		t.Error("terms that were too long to be recorded are known")
 	}
