TestReload has its success counted before the failures

Trace: the answers 200 and 500 are given together, and where the 500 is read first the endpoint is suspect, the 200 then begins a slow start, and the repeat that the test waits for is held by its budget, rightly. The test waits for the success now; its checks are the same.

--- a/internal/relay/reload_test.go
+++ b/internal/relay/reload_test.go
@@ -78,7 +78,8 @@
 	want(t, "status for a class just dropped", status, 202)
 	lateCall := receive(t, calls, "call")
 	lateCall.answer <- 200
-	newCall.answer <- 500 // its class is at_most_once now
+	awaitMetrics(t, r, "svc.requests.status-update.served=1") // a success after the failures would begin a slow start
+	newCall.answer <- 500                                     // its class is at_most_once now
 	want(t, "notice", receive(t, moved.notices, "notice"), notice{ID: "new", Status: undeliverable})
 	openCall.answer <- 500 // it may be repeated, as its class allowed when it was accepted
 	repeated := receive(t, calls, "call")
