TestKillBetweenJournalAndRemoval copies the folder again when a file was renamed meanwhile

The relay replaces the file of the list's lease by renaming while the test walks the folder. A kill leaves that file under one of its names, so a copy that met the rename is none that a kill leaves, and is made again.

--- a/internal/relay/backlog_faults_test.go
+++ b/internal/relay/backlog_faults_test.go
@@ -191,10 +191,25 @@
 	}
 }
 
-// copyFiles copies the files of a directory as a kill would leave them.
+// copyFiles copies the files of a directory as a kill would leave them. A running relay may rename a file meanwhile; the copy
+// is made again then, since a kill leaves the file under one of its names.
 func copyFiles(t *testing.T, to, from string) {
 	t.Helper()
-	err := filepath.WalkDir(from, func(path string, d fs.DirEntry, err error) error {
+	const attempts = 20
+	err := copyFilesOnce(to, from)
+	for try := 1; errors.Is(err, fs.ErrNotExist) && try < attempts; try++ {
+		if err := os.RemoveAll(to); err != nil {
+			t.Fatal(err)
+		}
+		err = copyFilesOnce(to, from)
+	}
+	if err != nil {
+		t.Error(err)
+	}
+}
+
+func copyFilesOnce(to, from string) error {
+	return filepath.WalkDir(from, func(path string, d fs.DirEntry, err error) error {
 		if err != nil {
 			return err
 		}
@@ -214,9 +229,6 @@
 		}
 		return os.WriteFile(filepath.Join(to, rel), data, 0o644)
 	})
-	if err != nil {
-		t.Error(err)
-	}
 }
 
 // runInLoop runs a function in the loop and waits for it.
