A rejected file without an address does not take back that of the one before

Two rejected files in a row: the first names where the platform has moved, the second is empty. The second one removed the address at which notices had been taken since, and they were lost again. TestNoticesFollowRejectedFile has that row; before: "no notice within 30 s". A file that names no address says nothing of it now.

--- a/internal/relay/config_reload_test.go
+++ b/internal/relay/config_reload_test.go
@@ -2,7 +2,11 @@
 
 import (
 	"bytes"
+	"fmt"
 	"testing"
+	"time"
+
+	"larchrouter/internal/discovery"
 )
 
 // Guards against rejecting a complete file because the file before it had members that WIRE calls optional: the relay then
@@ -75,22 +79,47 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			calls := make(chan *receivedCall, 10)
-			host := testEndpoint("s-1", newFakeHost(t, "a", calls), "taller")
-			p, moved := newFakePlatform(t, host), newFakePlatform(t, host)
+			var hosts []discovery.Server
+			for dest := 7; dest <= 9; dest++ { // one for each message: an error makes the next call to an endpoint wait
+				host := testEndpoint(fmt.Sprint("s-", dest), newFakeHost(t, fmt.Sprint(dest), calls), "taller")
+				host.Cell = dest
+				hosts = append(hosts, host)
+			}
+			p, moved := newFakePlatform(t, hosts...), newFakePlatform(t, hosts...)
 			r := startRelay(t, p, withAdminAddr)
-			endUndelivered := func(id string) {
-				postMessage(t, r.Addr(), id, "payment") // at_most_once: an error ends it
+			endUndelivered := func(id string, dest int) {
+				postMessage(t, r.Addr(), id, "payment", "X-Addressing", fmt.Sprint("dest=", dest)) // at_most_once: an error ends it
 				receive(t, calls, "call").answer <- 500
 			}
 			if err := reloadConfig(t, r, damage(replaceOnce(t, testConfig(t, p), p.addr(), moved.addr()))); err == nil {
 				t.Fatal("the file was applied")
 			}
-			endUndelivered("before")
+			endUndelivered("before", 7)
 			want(t, "notice while the old address answers", receive(t, p.notices, "notice"), notice{ID: "before", Status: undeliverable})
+			awaitNoPendingNotice(t, r) // otherwise it may be sent again
 			p.Listener.Close()
 			p.CloseClientConnections()
-			endUndelivered("behind")
+			endUndelivered("behind", 8)
 			want(t, "notice once it is gone", receive(t, moved.notices, "notice"), notice{ID: "behind", Status: undeliverable})
+			awaitNoPendingNotice(t, r)
+			if err := reloadConfig(t, r, nil); err == nil {
+				t.Fatal("the empty file was applied")
+			}
+			endUndelivered("later", 9)
+			want(t, "notice after a rejected file without an address", receive(t, moved.notices, "notice"), notice{ID: "later", Status: undeliverable})
 		})
 	}
 }
+
+// awaitNoPendingNotice waits until the platform has accepted all notices.
+func awaitNoPendingNotice(t *testing.T, r *Relay) {
+	t.Helper()
+	for end := time.Now().Add(30 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		pending := make(chan int, 1)
+		r.post(func() { pending <- r.pendingNotices })
+		if receive(t, pending, "number of notices") == 0 {
+			return
+		}
+	}
+	t.Fatal("notices are pending after 30 s")
+}
--- a/internal/relay/notice_address.go
+++ b/internal/relay/notice_address.go
@@ -38,7 +38,9 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.alternate, a.useAlternate = addr, false
+	if addr != a.alternate {
+		a.alternate, a.useAlternate = addr, false
+	}
 }
 
 // unreachable records that an address gave no answer. If it is the one in use, the other one is used from now on.
--- a/internal/relay/notice_delivery.go
+++ b/internal/relay/notice_delivery.go
@@ -42,6 +42,11 @@
 	return fmt.Sprintf("platform answered with status %d", e.status)
 }
 
+// Remedy returns what an operator can do about the error.
+func (e *rejectedError) Remedy() string {
+	return "see the platform's log for why it does not accept notices; they are sent again until it does"
+}
+
 // noticeDelivery sends one batch until the platform has accepted it.
 type noticeDelivery struct {
 	sender    *noticeSender
--- a/internal/relay/reload.go
+++ b/internal/relay/reload.go
@@ -16,7 +16,9 @@
 	defer func() { r.metrics.countReload(err) }()
 	next, namedAddr, err := readReloadedConfig(env, &r.config)
 	if err != nil {
-		r.notices.addresses.setAlternate(namedAddr)
+		if namedAddr != "" { // a file that names none says nothing about an earlier one's
+			r.notices.addresses.setAlternate(namedAddr)
+		}
 		return err
 	}
 	done := make(chan error, 1)
