Name the reason of each connection's end and each refusal, and the process's memory

Counters on the admin address (docs/on-call.md); lines at level debug with the message's id for refusals and outcomes of attempts, and with the peer for each connection's end. Resident memory and its peak are read from the kernel. No decision changes.

--- a/internal/relay/api.go
+++ b/internal/relay/api.go
@@ -192,15 +192,16 @@
 	case r.journal.Entry(id) != nil:
 		r.respondRecorded(apiReq, r.journal.Entry(id))
 	case apiReq.ctx.Err() != nil: // the client has disconnected; its handler still waits and occupies the connection
+		r.noteRefusal(id, refusedClientLeft)
 		apiReq.reply <- refusal
 	case err != nil:
 		apiReq.reply <- apiResponse{status: http.StatusBadRequest, text: err.Error()}
 	case r.destWaits[apiReq.entry.Dest] == nil:
 		r.metrics.countOutcome(apiReq.entry.Class, outcomeFailed)
 		apiReq.reply <- apiResponse{status: http.StatusNotFound, text: "unknown destination"}
-	case r.stopped || !r.replication.accepts(r.now()) || active.MaxPending > 0 && len(r.pending)+r.overflow.len() >= active.MaxPending ||
-		r.pendingNotices >= maxPendingNotices || r.overflow.broken() || !r.replicasHaveSpace(apiReq.entry):
+	case r.refusalOf(apiReq, active) != notRefused:
 		r.metrics.countOutcome(apiReq.entry.Class, outcomeRefused)
+		r.noteRefusal(id, r.refusalOf(apiReq, active))
 		apiReq.reply <- refusal
 	case r.queueForDisk(apiReq):
 	default:
--- a/internal/relay/conn_close.go
+++ b/internal/relay/conn_close.go
@@ -75,10 +75,12 @@
 	c.closed, c.active, c.closeRequested = true, false, false
 	c.listener.changed.Broadcast()
 	if !c.locallyClosed && c.remoteClosed {
+		c.noteCloseReason(closedByPeer)
 		c.remove()
 		return c.Conn.Close()
 	}
 	if !c.locallyClosed {
+		c.noteCloseReason(closedAfterReply)
 		c.beginClose()
 		c.listener.limitLingering()
 	}
@@ -155,7 +157,7 @@
 func (l *limitListener) refuseConn(conn net.Conn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	c := &inboundConn{Conn: conn, listener: l, stateSince: time.Now(), locallyClosed: true, closed: true, refusalDone: make(chan struct{})}
+	c := &inboundConn{Conn: conn, listener: l, stateSince: time.Now(), locallyClosed: true, closed: true, refusalDone: make(chan struct{}), closeReason: closedOverLimit}
 	c.Conn.SetReadDeadline(c.stateSince.Add(lingerTimeout))
 	l.open[c] = struct{}{}
 	l.lingering++
@@ -179,6 +181,7 @@
 		return
 	}
 	delete(c.listener.open, c)
+	c.listener.countClose(c)
 	if c.locallyClosed {
 		c.listener.lingering--
 	}
--- a/internal/relay/draining.go
+++ b/internal/relay/draining.go
@@ -96,8 +96,9 @@
 		switch {
 		case c.locallyClosed || c.active:
 		case c.requestStart.IsZero() && (includePartial || !isNew):
-			c.requestClose()
+			c.requestClose(closedToStop)
 		case includePartial:
+			c.noteCloseReason(closedToStop)
 			c.beginClose()
 		}
 	}
--- a/internal/relay/idle_close.go
+++ b/internal/relay/idle_close.go
@@ -17,8 +17,9 @@
 	idleCloseTimeout = 100 * time.Millisecond
 )
 
-// requestClose makes the connection close as soon as it is idle. The caller holds the mutex.
-func (c *inboundConn) requestClose() {
+// requestClose makes the connection close, for a reason, as soon as it is idle. The caller holds the mutex.
+func (c *inboundConn) requestClose(reason closeReason) {
+	c.noteCloseReason(reason)
 	c.closeRequested = true
 	if c.idle && !c.interrupted {
 		c.interruptRead()
@@ -43,7 +44,7 @@
 	if c.interrupted {
 		c.Conn.SetReadDeadline(c.readDeadline)
 	}
-	c.closeRequested, c.interrupted = false, false
+	c.closeRequested, c.interrupted, c.closeReason = false, false, closedUnknown
 	c.listener.changed.Broadcast()
 }
 
@@ -83,7 +84,7 @@
 // closedOrKept waits until a connection is closed, or is kept open for a request that arrived. It reports whether
 // either happened in time. The caller holds the mutex, which is released during the wait.
 func (l *limitListener) closedOrKept(c *inboundConn) bool {
-	c.requestClose()
+	c.requestClose(closedForSpace)
 	return l.waitFor(func() bool { return !c.closeRequested })
 }
 
--- a/internal/relay/inbound_conn.go
+++ b/internal/relay/inbound_conn.go
@@ -33,6 +33,7 @@
 	bufferSize       int       // size of the server's read buffer, known from its first Read
 	idle             bool      // a Read waits for the first byte of a request
 	closeRequested   bool      // to be closed as soon as it is idle
+	closeReason      closeReason
 	interrupted      bool      // its Read has been interrupted for the requested close
 	readDeadline     time.Time // as set by the server
 
@@ -86,6 +87,9 @@
 		c.beginRequest()
 	}
 	if timedOut && (c.closeRequested || c.hasUnansweredRequest()) { // the client may have sent the whole request by now
+		if !c.closeRequested {
+			c.noteCloseReason(closedAtTimeout)
+		}
 		c.beginClose()
 		return discardRead
 	}
--- a/internal/relay/limit_listener.go
+++ b/internal/relay/limit_listener.go
@@ -30,6 +30,7 @@
 	lingering       int // number of open connections closed by this side, waiting for the remote side
 
 	forcedCloses int // connections no longer in open that are about to be closed
+	closes       closeCounts
 
 	draining         bool      // the listener closes once its queue is empty
 	acceptStarted    time.Time // start of the last Accept
@@ -140,6 +141,7 @@
 		case candidate == nil:
 			return false
 		case !candidate.requestStart.IsZero():
+			candidate.noteCloseReason(closedForSpace)
 			candidate.beginClose()
 		case !l.closedOrKept(candidate):
 			return false
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -34,6 +34,8 @@
 	pendingMessages                   int
 	endpointsKnown, endpointsExcluded int // numbers of endpoints
 	reloadsOK, reloadsFailed          int
+	refusals                          [refusalReasonCount]int
+	clientListener                    *limitListener // nil until clients may connect
 	listLease                         discovery.Lease
 	listExpired                       bool
 	fleetState                        *lease.Status // agreed state that the relay applies; nil for one outside a fleet
@@ -99,6 +101,13 @@
 	m.withheldMessages[reason] += messages
 }
 
+// countRefusal counts a message that was not accepted.
+func (m *relayMetrics) countRefusal(reason refusalReason) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.refusals[reason]++
+}
+
 // countReload counts a reload of the configuration, which failed if err is not nil.
 func (m *relayMetrics) countReload(err error) {
 	m.mu.Lock()
@@ -152,11 +161,25 @@
 	m.pendingMessages, m.endpointsKnown, m.endpointsExcluded = pending, known, excluded
 }
 
+// observeConnections has the metrics include the connections of clients.
+func (m *relayMetrics) observeConnections(clients *limitListener) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.clientListener = clients
+}
+
 // text returns the metrics, one per line.
 func (m *relayMetrics) text() []byte {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var buf bytes.Buffer
+	if m.clientListener != nil {
+		m.clientListener.usage().appendText(&buf)
+	}
+	readProcessMemory().appendText(&buf)
+	for reason := notRefused + 1; reason < refusalReasonCount; reason++ {
+		fmt.Fprintf(&buf, "svc.turned_away.%v=%d\n", reason, m.refusals[reason])
+	}
 	for _, name := range slices.Sorted(maps.Keys(m.classes)) {
 		counts := m.classes[name]
 		fmt.Fprintf(&buf, "svc.requests.%s.served=%d\nsvc.requests.%s.refused=%d\nsvc.requests.%s.failed=%d\n",
--- a/internal/relay/requestlog.go
+++ b/internal/relay/requestlog.go
@@ -4,6 +4,8 @@
 	"context"
 	"log/slog"
 	"time"
+
+	"larchrouter/choice"
 )
 
 // logRequest logs a request whose first byte is about to be written, with the version of the list that it relies on
@@ -16,3 +18,13 @@
 	slog.Debug("sending request", "id", ids[0], "messages", len(ids), "endpoint", c.host.id, "list", r.listVersion.Load(),
 		"lease_left", until-r.now(), "decided", time.Since(c.startedAt))
 }
+
+// outcomeNames are the outcomes of attempts as the log names them.
+var outcomeNames = [...]string{choice.Served: "served", choice.Error: "error", choice.Refused: "refused", choice.Timeout: "timeout",
+	choice.NoConnection: "no_connection", choice.Reset: "reset", choice.Cancelled: "cancelled", choice.NotSent: "not_sent"}
+
+// logAttempt logs the outcome of one message's attempt.
+func logAttempt(c *call, msg *message, outcome choice.Outcome, feedback hostFeedback) {
+	slog.Debug("attempt ended", "id", msg.ID, "endpoint", c.host.id, "attempt", msg.Tries, "outcome", outcomeNames[outcome], "took", feedback.elapsed,
+		"wait", feedback.retryAfter)
+}
--- a/internal/relay/step.go
+++ b/internal/relay/step.go
@@ -22,6 +22,7 @@
 	if r.stopped {
 		r.events = nil
 		for _, m := range r.newMessages {
+			r.noteRefusal(m.ID, refusedStopping)
 			r.refuse(m, defaultRetryAfter)
 		}
 		r.newMessages = nil
@@ -87,6 +88,7 @@
 		if err != nil {
 			slog.Error("message not accepted: could not be recorded", "err", err, "remedy", remedy.Of(err))
 			r.events = append(r.events, choice.Withdrawn{ID: msg.ID})
+			r.noteRefusal(msg.ID, refusedUnrecorded)
 			r.refuse(msg, defaultRetryAfter)
 		}
 	}
@@ -123,6 +125,7 @@
 	switch msg := r.pending[id]; {
 	case msg == nil:
 	case msg.unanswered != nil:
+		r.noteRefusal(id, refusedByChooser)
 		r.refuse(msg, retryAfter)
 	case msg.served:
 		r.finish(msg, outcomeServed)
@@ -212,6 +215,7 @@
 		return
 	}
 	msg.call = nil
+	logAttempt(hostCall, msg, result.outcome, feedback)
 	if r.nextProcess != nil {
 		r.hostTransport.Load().CloseIdleConnections() // both processes share the limit on descriptors
 		r.nextProcess.send(handoverUpdate{Result: &forwardedResult{msg.ID, result.outcome, result.done, feedback.elapsed, feedback.retryAfter, feedback.loadReport, feedback.staleConn}})
--- a/internal/relay/withdraw.go
+++ b/internal/relay/withdraw.go
@@ -74,6 +74,7 @@
 		return false
 	}
 	r.events = append(r.events, choice.Withdrawn{ID: id})
+	r.noteRefusal(id, refusedClientLeft)
 	r.release(msg)
 	return true
 }
