Bound what the requests of all peers hold at once, on each address

Callers saw a relay at memory_mb 32 pass its limit (VmHWM 208.6 MB) while hundreds of peers wrote heads of short fields, wrote slowly or stopped inside a body; clients beside them were answered late or never.

Cause: limits on a single request (20 KiB of head, 64 KiB of body) times 512 connections, with nothing for the sum. net/http keeps a map entry for each field, some 30 times the bytes of a short one; bodies were read into buffers that grow; a request that stood still held its memory and its connection for 2.2 s. At the memory limit the collector then took the processor.

Change: each connection follows its requests (requestScanner) and passes on no byte of the next one with the end of one, so that every head is counted before the server has it. Over 100 fields or 16 KiB are answered 431. Heads and bodies beyond 4 KiB are reserved against a tenth of the memory limit for the clients' address, 1/64 for the admin address. When it is used up the oldest incomplete request older than 250 ms is answered 503; few others wait, 200 ms at most, the rest get 503. A body is read into memory of its declared size; one over 64 KiB is answered at once by every path, and nothing more is read behind an answer that ends its connection. Requests that wait for a body give way to new connections as those in a head do. As many connections as fit a quarter of the memory, a third of the descriptors at least; up to 8 quiet ones are closed at a time.

--- a/internal/relay/admin.go
+++ b/internal/relay/admin.go
@@ -29,13 +29,14 @@
 		return fmt.Errorf("admin address: %w", err)
 	}
 	limited := newLimitListener(tcpListener, maxAdminConns)
+	limited.setMemoryLimit(r.config.memoryPart(adminMemoryDivisor))
 	r.adminListener = limited
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /ready", r.serveReady)
 	mux.HandleFunc("GET /metrics", r.serveMetrics)
 	mux.HandleFunc("PUT /endpoints/disable/{id}", r.serveSetDisabled(true))
 	mux.HandleFunc("PUT /endpoints/enable/{id}", r.serveSetDisabled(false))
-	r.adminServer = newHTTPServer(framing.Require(framing.Check, mux, nil), limited) // one call per connection, so a missing length does no harm
+	r.adminServer = newHTTPServer(framing.Require(framing.Check, mux, ignoreRest), limited) // one call per connection, so a missing length does no harm
 	r.adminServer.ReadTimeout, r.adminServer.WriteTimeout = adminTimeout, adminTimeout
 	r.adminServer.SetKeepAlivesEnabled(false)
 	r.adminAddr = tcpListener.Addr()
--- a/internal/relay/api.go
+++ b/internal/relay/api.go
@@ -45,9 +45,12 @@
 // serveAPI handles the submission of a message. It responds once the message is accepted or rejected.
 func (r *Relay) serveAPI(w http.ResponseWriter, req *http.Request) {
 	arrivedAt := r.now() - sinceArrival(netConnOf(req))
-	apiReq, status, err := r.readAPIRequest(w, req, arrivedAt)
+	apiReq, status, err := r.readAPIRequest(req, arrivedAt)
 	if err != nil {
 		closeAfterMalformed(w, req)
+		if status == http.StatusServiceUnavailable {
+			w.Header().Set("Retry-After", strconv.FormatFloat(defaultRetryAfter.Seconds(), 'f', 3, 64))
+		}
 		http.Error(w, err.Error(), status)
 		return
 	}
@@ -78,7 +81,7 @@
 }
 
 // readAPIRequest reads and checks a request. The error text and the status are for the client.
-func (r *Relay) readAPIRequest(w http.ResponseWriter, req *http.Request, arrivedAt time.Duration) (*apiRequest, int, error) {
+func (r *Relay) readAPIRequest(req *http.Request, arrivedAt time.Duration) (*apiRequest, int, error) {
 	badRequest := func(text string) (*apiRequest, int, error) { return nil, http.StatusBadRequest, errors.New(text) }
 	entry := &journal.Entry{ID: req.Header.Get("X-Request-Id"), Class: req.Header.Get("X-Class"),
 		Key: req.Header.Get("Idempotency-Key"), Tenant: req.Header.Get("X-Tenant")}
@@ -104,18 +107,36 @@
 		return badRequest("X-Addressing is missing or malformed")
 	}
 	entry.Dest = dest
-	entry.Body, err = io.ReadAll(http.MaxBytesReader(w, req.Body, maxBodyBytes))
-	if tooLong := (*http.MaxBytesError)(nil); errors.As(err, &tooLong) {
-		return nil, http.StatusRequestEntityTooLarge, errors.New("body is over 64 KiB")
-	}
+	body, status, err := readBody(req)
 	if err != nil {
-		return badRequest("body could not be read")
+		return nil, status, err
 	}
+	entry.Body = body
 	timeLeft := time.Duration(ms) * time.Millisecond
 	entry.Due = steady.Now().Add(timeLeft - (r.now() - arrivedAt)).UnixMilli()
 	return &apiRequest{entry: entry, due: arrivedAt + timeLeft, ctx: req.Context(), reply: make(chan apiResponse, 1)}, 0, nil
 }
 
+// readBody reads the body of a request, whose length is known. The error text and the status are for the client.
+func readBody(req *http.Request) (body []byte, status int, err error) {
+	if req.ContentLength > maxBodyBytes {
+		return nil, http.StatusRequestEntityTooLarge, errors.New("body is over 64 KiB")
+	}
+	conn := inboundConnOf(req)
+	if !conn.beginBody(req.ContentLength) {
+		return nil, http.StatusServiceUnavailable, errNoMemory
+	}
+	body = make([]byte, max(0, req.ContentLength))
+	_, err = io.ReadFull(req.Body, body)
+	if conn.endBody() {
+		return nil, http.StatusServiceUnavailable, errNoMemory
+	}
+	if err != nil {
+		return nil, http.StatusBadRequest, errors.New("body could not be read")
+	}
+	return body, 0, nil
+}
+
 // settingsAtRequestStart returns the settings that apply to a request: those in effect when its first byte arrived,
 // since its client wrote it under these. It returns nil for a request that only the next process can check.
 func (r *Relay) settingsAtRequestStart(req *http.Request) *activeSettings {
--- a/internal/relay/close_reason.go
+++ b/internal/relay/close_reason.go
@@ -19,6 +19,8 @@
 	closedOverLimit              // it came while every connection had a request in progress
 	closedAtTimeout              // its request was not complete in time
 	closedToStop                 // the process stops, or has handed over
+	closedForMemory              // its request was incomplete, and others needed the memory
+	closedForHead                // the head of its request exceeds a limit
 	closeReasonCount
 )
 
@@ -39,6 +41,10 @@
 		return "request_timeout"
 	case closedToStop:
 		return "stopping"
+	case closedForMemory:
+		return "for_memory"
+	case closedForHead:
+		return "large_head"
 	}
 	return fmt.Sprintf("reason(%d)", int(r))
 }
--- a/internal/relay/conn_close.go
+++ b/internal/relay/conn_close.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"io"
 	"net"
 	"net/http"
@@ -30,8 +31,12 @@
 	refusalTimeout = 100 * time.Millisecond
 )
 
-// refusalResponse answers a request that was read, partly or completely, and is not served.
-const refusalResponse = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+const (
+	// refusalResponse answers a request that was read, partly or completely, and is not served.
+	refusalResponse = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+	// headTooLargeResponse answers a request whose head exceeds a limit.
+	headTooLargeResponse = "HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+)
 
 // beginClose closes the sending direction; the reader of the connection continues until the remote side has closed. A
 // request that has begun and that no handler answers is refused first, including one pipelined behind the last
@@ -54,7 +59,7 @@
 func (c *inboundConn) writeRefusal() {
 	defer close(c.refusalDone)
 	c.Conn.SetWriteDeadline(time.Now().Add(refusalTimeout))
-	io.WriteString(c.Conn, refusalResponse)
+	io.WriteString(c.Conn, cmp.Or(c.refusal, refusalResponse))
 	c.closeWrite()
 }
 
@@ -90,6 +95,11 @@
 
 // linger reads until the remote side has closed, and then closes the connection.
 func (c *inboundConn) linger() {
+	c.listener.mu.Lock()
+	if !c.forced {
+		c.Conn.SetReadDeadline(c.stateSince.Add(lingerTimeout))
+	}
+	c.listener.mu.Unlock()
 	for buf := make([]byte, 4<<10); ; {
 		if _, err := c.Read(buf); err != nil {
 			break
@@ -181,6 +191,7 @@
 		return
 	}
 	delete(c.listener.open, c)
+	c.releaseMemory()
 	c.listener.countClose(c)
 	if c.locallyClosed {
 		c.listener.lingering--
@@ -206,10 +217,15 @@
 // skipClosedConns serves only requests that were read before their connection was closed.
 func skipClosedConns(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
-		if !inboundConnOf(req).beginHandling() {
+		conn := inboundConnOf(req)
+		if !conn.beginHandling() {
 			panic(http.ErrAbortHandler)
 		}
+		defer conn.endHandling()
+		if req.ContentLength > maxBodyBytes {
+			rejectLargeBody(w, req)
+			return
+		}
 		next.ServeHTTP(w, req)
-		inboundConnOf(req).endHandling(req)
 	})
 }
--- a/internal/relay/descriptors.go
+++ b/internal/relay/descriptors.go
@@ -16,6 +16,11 @@
 	// second attempts may each have one more connection that is being closed.
 	reservedDescriptors = 15 + maxNoticeBatches + 2*maxNoticeHedges
 	fleetDescriptors    = 24 // keepers, replicas, their streams and directories
+	// clientShareDivisor is the part of the descriptors that clients may hold for their requests, in any case.
+	clientShareDivisor = 3
+	// connectionMemoryDivisor is the part of the memory limit for connections of clients, without their requests.
+	connectionMemoryDivisor = 4
+	connectionBytes         = 20 << 10 // stack, buffers and state of a connection, at most
 )
 
 // connectionLimits returns how many connections clients may have, and how many idle connections to endpoints are
@@ -34,7 +39,13 @@
 	}
 	available := max(total-reserved-workers, total/4)
 	idleHostConns = max(1, min(total/4, available/3))
-	return max(2, min(total/2, (available-idleHostConns)*8/9)), idleHostConns // another eighth may be closing
+	clients = min(total/2, (available-idleHostConns)*8/9) // another eighth may be closing
+	return max(2, min(clients, max(total/clientShareDivisor, c.connectionsInMemory()))), idleHostConns
+}
+
+// connectionsInMemory returns how many connections of clients fit into the memory that they may use.
+func (c *Config) connectionsInMemory() int {
+	return int(c.memoryPart(connectionMemoryDivisor) / connectionBytes)
 }
 
 // dialFunc opens a connection.
--- a/internal/relay/draining.go
+++ b/internal/relay/draining.go
@@ -97,7 +97,7 @@
 		case c.locallyClosed || c.active:
 		case c.requestStart.IsZero() && (includePartial || !isNew):
 			c.requestClose(closedToStop)
-		case includePartial:
+		case includePartial && c.inHead():
 			c.noteCloseReason(closedToStop)
 			c.beginClose()
 		}
--- a/internal/relay/idle_close.go
+++ b/internal/relay/idle_close.go
@@ -57,10 +57,7 @@
 		return
 	}
 	c.bufferSize = max(c.bufferSize, space)
-	if c.requestStart.IsZero() {
-		c.received = int64(c.bufferSize - space)
-	}
-	if space < c.bufferSize {
+	if space < c.bufferSize || len(c.ahead) > 0 {
 		c.beginBufferedRequest()
 	}
 	if c.idle = c.requestStart.IsZero(); c.idle && c.closeRequested {
@@ -84,7 +81,7 @@
 // closedOrKept waits until a connection is closed, or is kept open for a request that arrived. It reports whether
 // either happened in time. The caller holds the mutex, which is released during the wait.
 func (l *limitListener) closedOrKept(c *inboundConn) bool {
-	c.requestClose(closedForSpace)
+	l.requestCloseOfQuiet(c)
 	return l.waitFor(func() bool { return !c.closeRequested })
 }
 
--- a/internal/relay/inbound_conn.go
+++ b/internal/relay/inbound_conn.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 )
 
@@ -20,8 +21,12 @@
 	responded        bool      // something was written since the last bytes arrived
 	active           bool      // the head of a request has been read
 	handling         bool      // a handler has the current request and will answer it
-	received         int64     // bytes read since the current request began, including those of a pipelined one
 	pipelined        bool      // the first byte of the request behind the current one has arrived
+	readingBody      bool      // a handler reads the body of the current request
+	headReadAhead    bool      // the whole head of the current request was read behind the request before
+	evicted          bool      // the current request fails, to free its memory or its connection
+	requestBytes     int64     // memory that the current request uses
+	reserved         int64     // part of it that counts towards the limit for all requests
 	restIgnored      bool      // the current request is malformed, so what follows it is not known to be a request
 	served           bool      // an earlier request was served
 	submittedMessage bool      // a message was accepted from it
@@ -37,15 +42,20 @@
 	interrupted      bool      // its Read has been interrupted for the requested close
 	readDeadline     time.Time // as set by the server
 
+	refusal     string        // answers a request that is not served
 	refusalDone chan struct{} // closed once the refusal has been written; nil if there is none
+
+	scanner requestScanner // used by the goroutine that reads
+	ahead   []byte         // input behind the current request, which is passed on after it
 }
 
 // Read records where a request begins. After this side has closed, it returns no more input.
 func (c *inboundConn) Read(p []byte) (int, error) {
 	for {
 		c.beforeRead(len(p))
-		n, err := c.Conn.Read(p)
-		switch c.afterRead(n, len(p), err) {
+		n, err := c.readInput(p)
+		n, action := c.afterRead(p, n, err)
+		switch action {
 		case deliverRead:
 			return n, err
 		case reportEOF:
@@ -54,6 +64,31 @@
 	}
 }
 
+// readInput reads what was read ahead, or else from the connection.
+func (c *inboundConn) readInput(p []byte) (int, error) {
+	if len(c.ahead) > 0 {
+		return copy(p, c.ahead), nil
+	}
+	return c.Conn.Read(p)
+}
+
+// cutAtEnd returns how many bytes of the input belong to the current request, and retains the others. A Read never
+// passes on the end of one request and the start of the next, so that the server has nothing of a request whose head
+// is not counted. The caller holds the mutex.
+func (c *inboundConn) cutAtEnd(input []byte) (n int) {
+	n = c.scanner.scan(input)
+	switch {
+	case len(c.ahead) > 0:
+		c.ahead = c.ahead[n:]
+	case n < len(input):
+		c.ahead = slices.Clone(input[n:])
+	}
+	if len(c.ahead) == 0 {
+		c.ahead = nil
+	}
+	return n
+}
+
 // readAction is what happens to bytes that were read.
 type readAction int
 
@@ -63,9 +98,10 @@
 	reportEOF                     // report the end of the input to the server
 )
 
-// afterRead records the result of a Read and returns what happens to the bytes. The server asks for a single byte
-// only while a request is being handled, to detect that its client disconnects.
-func (c *inboundConn) afterRead(n, requested int, err error) readAction {
+// afterRead records the result of a Read of n bytes into p, and returns how many of them are passed on now and what
+// happens to them. The server asks for a single byte only while a request is being handled, to detect that its client
+// disconnects.
+func (c *inboundConn) afterRead(p []byte, n int, err error) (int, readAction) {
 	c.listener.mu.Lock()
 	defer c.listener.mu.Unlock()
 	c.idle = false
@@ -76,29 +112,59 @@
 		if c.discarded += n; c.discarded > maxLingerBytes {
 			c.Conn.SetReadDeadline(time.Unix(1, 0))
 		}
+		c.ahead = nil
 		if err != nil {
-			return reportEOF
+			return 0, reportEOF
 		}
-		return discardRead
+		return 0, discardRead
 	}
-	c.received += int64(n)
 	if n > 0 {
-		c.pipelined = c.pipelined || c.handling && requested == 1
-		c.beginRequest()
+		arrivedNow := len(c.ahead) == 0
+		headBytes, fields := c.scanner.headSize()
+		n = c.cutAtEnd(p[:n])
+		c.pipelined = c.pipelined || c.handling && len(p) == 1
+		c.headReadAhead = !arrivedNow && c.scanner.inBody
+		c.beginRequest(arrivedNow)
+		if !c.active && !c.acceptHead(headBytes, fields) {
+			return 0, discardRead
+		}
 	}
 	if timedOut && (c.closeRequested || c.hasUnansweredRequest()) { // the client may have sent the whole request by now
 		if !c.closeRequested {
 			c.noteCloseReason(closedAtTimeout)
 		}
 		c.beginClose()
-		return discardRead
+		return 0, discardRead
+	}
+	return n, deliverRead
+}
+
+// acceptHead reserves memory for what the head of the current request has grown by, since it had the given size. It
+// refuses the request if that is too much, and reports whether it does not. The caller holds the mutex.
+func (c *inboundConn) acceptHead(headBytes, fields int) bool {
+	newBytes, newFields := c.scanner.headSize()
+	if newBytes < headBytes { // of another request
+		headBytes, fields = 0, 0
 	}
-	return deliverRead
+	if c.scanner.oversized {
+		c.refusal = headTooLargeResponse
+		c.evict(closedForHead)
+		return false
+	}
+	growth := headByteCost*int64(newBytes-headBytes) + headFieldCost*int64(newFields-fields)
+	if c.listener.reserve(c, growth) {
+		return true
+	}
+	if !c.evicted && !c.locallyClosed {
+		c.evict(closedForMemory)
+	}
+	return false
 }
 
-// beginRequest records that bytes of a request have arrived. The caller holds the mutex.
-func (c *inboundConn) beginRequest() {
-	if c.listener.settingsSnapshot != nil {
+// beginRequest records that bytes of a request are passed on, which arrived just now or earlier. The caller holds the
+// mutex.
+func (c *inboundConn) beginRequest(arrivedNow bool) {
+	if c.listener.settingsSnapshot != nil && arrivedNow {
 		c.latestSettings = c.listener.settingsSnapshot()
 	}
 	if c.requestStart.IsZero() || c.responded {
@@ -137,11 +203,11 @@
 	return c.Conn.SetWriteDeadline(t)
 }
 
-// SetReadDeadline has no effect after this side has closed.
+// SetReadDeadline has no effect after this side has closed or has made the request fail.
 func (c *inboundConn) SetReadDeadline(t time.Time) error {
 	c.listener.mu.Lock()
 	defer c.listener.mu.Unlock()
-	if c.locallyClosed {
+	if c.locallyClosed || c.evicted {
 		return nil
 	}
 	c.readDeadline = t
--- a/internal/relay/limit_listener.go
+++ b/internal/relay/limit_listener.go
@@ -32,6 +32,11 @@
 	forcedCloses int // connections no longer in open that are about to be closed
 	closes       closeCounts
 
+	memoryLimit int64 // bytes that the requests of all connections may use together; 0 for no limit
+	reserved    int64 // bytes that they use
+
+	memoryWaiters int // requests that wait for memory
+
 	draining         bool      // the listener closes once its queue is empty
 	acceptStarted    time.Time // start of the last Accept
 	acceptTimeouts   int       // consecutive Accepts that timed out
@@ -42,9 +47,15 @@
 	changed *sync.Cond // signals that a connection was closed or is kept open
 }
 
-// partialRequestGrace is how long a request whose head is incomplete is protected while connections are at the limit.
+// partialRequestGrace is how long an incomplete request is protected while connections are at the limit.
 const partialRequestGrace = 250 * time.Millisecond
 
+// newRequestGrace is how long a connection without a request is protected: new ones mostly bring a request with them.
+const newRequestGrace = 5 * time.Millisecond
+
+// evictionBatch is how many connections without a request are closed at a time.
+const evictionBatch = 8
+
 // newLimitListener returns a listener that limits the connections accepted by another one.
 func newLimitListener(l net.Listener, limit int) *limitListener {
 	p := &limitListener{Listener: l, limit: limit, configuredLimit: limit, open: map[*inboundConn]struct{}{}}
@@ -140,9 +151,13 @@
 		switch {
 		case candidate == nil:
 			return false
+		case candidate.readingBody:
+			candidate.evict(closedForSpace)
+			if !l.waitFor(func() bool { return candidate.locallyClosed || candidate.closed }) {
+				return false
+			}
 		case !candidate.requestStart.IsZero():
-			candidate.noteCloseReason(closedForSpace)
-			candidate.beginClose()
+			candidate.evict(closedForSpace)
 		case !l.closedOrKept(candidate):
 			return false
 		}
@@ -154,30 +169,73 @@
 // maxLingering returns how many connections may wait for the remote side, in addition to those that are served.
 func (l *limitListener) maxLingering() int { return max(2, l.limit/8) }
 
-// evictionCandidate returns the connection to close for a new one, or nil if each serves a request. The caller holds
-// the mutex.
+// evictionCandidate returns the connection to close for a new one, or nil if there is none. The caller holds the mutex.
 func (l *limitListener) evictionCandidate() (candidate *inboundConn) {
 	now := time.Now()
-	rank := func(c *inboundConn) int {
-		switch partial := !c.requestStart.IsZero(); {
-		case !c.submittedMessage && (!partial || now.Sub(c.requestStart) > partialRequestGrace):
-			return 0
-		case !partial:
-			return 1
-		}
-		return 2
-	}
 	for c := range l.open {
-		if c.locallyClosed || c.active {
+		if !c.mayBeEvicted(now) {
 			continue
 		}
-		if candidate == nil || rank(c) < rank(candidate) || rank(c) == rank(candidate) && c.stateSince.Before(candidate.stateSince) {
+		if candidate == nil || c.evictionRank(now) < candidate.evictionRank(now) ||
+			c.evictionRank(now) == candidate.evictionRank(now) && c.stateSince.Before(candidate.stateSince) {
 			candidate = c
 		}
 	}
 	return candidate
 }
 
+// mayBeEvicted reports whether a connection may be closed for another one: not while it serves a request, unless that
+// waits for its body for long. The caller holds the mutex.
+func (c *inboundConn) mayBeEvicted(now time.Time) bool {
+	if c.locallyClosed || c.evicted {
+		return false
+	}
+	if c.readingBody {
+		return now.Sub(c.requestStart) > partialRequestGrace
+	}
+	return !c.active && (c.requestStart.IsZero() || c.inHead())
+}
+
+// evictionRank orders connections that may be evicted, those to close first with the lowest rank. The request of a new
+// connection may be on its way. The caller holds the mutex.
+func (c *inboundConn) evictionRank(now time.Time) int {
+	partial := !c.requestStart.IsZero()
+	switch {
+	case !c.submittedMessage && c.quietFor(now) > partialRequestGrace:
+		return 0
+	case !partial && !c.submittedMessage && c.quietFor(now) > newRequestGrace:
+		return 1
+	case !partial && c.submittedMessage:
+		return 2
+	}
+	return 3
+}
+
+// quietFor returns how long an incomplete request has lasted, or a connection has been without one. The caller holds the
+// mutex.
+func (c *inboundConn) quietFor(now time.Time) time.Duration {
+	if !c.requestStart.IsZero() {
+		return now.Sub(c.requestStart)
+	}
+	return now.Sub(c.stateSince)
+}
+
+// requestCloseOfQuiet requests the close of a connection, and of others that have been without a request for longer than
+// the grace: closing one takes time, and a crowd needs space for more than one. The caller holds the mutex.
+func (l *limitListener) requestCloseOfQuiet(first *inboundConn) {
+	first.requestClose(closedForSpace)
+	now, requested := time.Now(), 1
+	for c := range l.open {
+		if requested >= evictionBatch {
+			return
+		}
+		if c.requestStart.IsZero() && !c.closeRequested && c.mayBeEvicted(now) && c.evictionRank(now) == 0 {
+			c.requestClose(closedForSpace)
+			requested++
+		}
+	}
+}
+
 // setConnState follows the server's view of a connection.
 func (l *limitListener) setConnState(conn net.Conn, state http.ConnState) {
 	if c, ok := conn.(*inboundConn); ok && (state == http.StateActive || state == http.StateIdle) {
@@ -193,6 +251,7 @@
 			c.requestStart, c.requestSettings = time.Time{}, c.latestSettings
 		}
 		if state == http.StateIdle {
+			c.releaseMemory()
 			c.served, c.handling, c.pipelined = true, false, false
 		}
 		l.mu.Unlock()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -160,6 +160,7 @@
 		}
 	}
 	relay.clientListener = newLimitListener(relay.tcpListener, maxClients)
+	relay.clientListener.setMemoryLimit(config.memoryPart(clientMemoryDivisor))
 	relay.metrics.observeConnections(relay.clientListener)
 	relay.clientListener.freeDescriptors = func() { relay.hostTransport.Load().CloseIdleConnections() }
 	relay.clientListener.settingsSnapshot = func() any { return relay.currentSettings() }
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -1,7 +1,9 @@
 package relay
 
 import (
+	"io"
 	"net/http"
+	"time"
 
 	"larchrouter/internal/framing"
 )
@@ -37,7 +39,27 @@
 		}
 		mux.ServeHTTP(w, req)
 	})
-	return framing.Require(framing.CheckLength, known, func(req *http.Request) { inboundConnOf(req).ignoreRest() })
+	return framing.Require(framing.CheckLength, known, ignoreRest)
+}
+
+// ignoreRest has the connection of a request end with the response to it.
+func ignoreRest(req *http.Request) { inboundConnOf(req).ignoreRest() }
+
+// bodyTooLargeResponse answers a request whose body exceeds maxBodyBytes.
+const bodyTooLargeResponse = "HTTP/1.1 413 Request Entity Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+
+// rejectLargeBody answers a request whose body is too large, and ends its connection. It takes the connection from the
+// server, which would keep it for half a second as if it still served the request.
+func rejectLargeBody(w http.ResponseWriter, req *http.Request) {
+	ignoreRest(req)
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		http.Error(w, "body is over 64 KiB", http.StatusRequestEntityTooLarge)
+		return
+	}
+	conn.SetWriteDeadline(time.Now().Add(refusalTimeout))
+	io.WriteString(conn, bodyTooLargeResponse)
+	conn.Close()
 }
 
 // closeAfterMalformed closes the connection of a malformed request with the answer to it.
