Pace connections whose requests come without a pause, so that others get their turn

Cause: such a connection always has input, so its goroutine never waits in the poller; on one processor the sockets of the others are only looked at when its time slice of 10 ms ends, several times for each of their requests. Change: a connection starts at most 20 requests in 50 ms, fewer when many are busy: 200 together, 2 each in any case. It waits between two requests and loses none.

--- a/internal/relay/flood_test.go
+++ b/internal/relay/flood_test.go
@@ -51,6 +51,13 @@
 		io.Copy(io.Discard, conn)
 		conn.Close()
 	}()
+	go func() {
+		select {
+		case <-f.stop: // a write may wait for the relay
+			conn.Close()
+		case <-readEnded:
+		}
+	}()
 	writer := bufio.NewWriterSize(conn, 16<<10)
 	for {
 		select {
--- a/internal/relay/inbound_conn.go
+++ b/internal/relay/inbound_conn.go
@@ -45,6 +45,9 @@
 	refusal     string        // answers a request that is not served
 	refusalDone chan struct{} // closed once the refusal has been written; nil if there is none
 
+	pace          requestPace
+	nextRequestAt time.Time
+
 	scanner requestScanner // used by the goroutine that reads
 	ahead   []byte         // input behind the current request, which is passed on after it
 }
@@ -52,6 +55,7 @@
 // Read records where a request begins. After this side has closed, it returns no more input.
 func (c *inboundConn) Read(p []byte) (int, error) {
 	for {
+		c.awaitTurn()
 		c.beforeRead(len(p))
 		n, err := c.readInput(p)
 		n, action := c.afterRead(p, n, err)
--- a/internal/relay/limit_listener.go
+++ b/internal/relay/limit_listener.go
@@ -36,6 +36,7 @@
 	reserved    int64 // bytes that they use
 
 	memoryWaiters int // requests that wait for memory
+	pace          sharedPace
 
 	draining         bool      // the listener closes once its queue is empty
 	acceptStarted    time.Time // start of the last Accept
@@ -252,6 +253,7 @@
 		}
 		if state == http.StateIdle {
 			c.releaseMemory()
+			c.countRequest()
 			c.served, c.handling, c.pipelined = true, false, false
 		}
 		l.mu.Unlock()
