--- a/internal/journal/compact.go
+++ b/internal/journal/compact.go
@@ -66,6 +66,7 @@
 		j.file.Close()
 	}
 	j.file, j.fileBytes, j.order, j.writeError, j.partialRecord, j.stopped = file, int64(len(buf)), order, nil, false, false
+	j.sizeCompacted, j.endedBytes = j.fileBytes, 0
 	return nil
 }
 
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -35,6 +35,8 @@
 	fileBytes      int64
 	reserveBytes   int64            // part of the budget reserved for records of pending messages
 	compactedBytes int64            // maximum size of a compacted journal
+	sizeCompacted  int64            // length of the file after the last compaction
+	endedBytes     int64            // of compactedBytes, what messages that ended since then no longer need
 	copyBytes      map[uint64]int64 // maximum number of bytes of the messages in a copy, by group
 	entries        map[string]*Entry
 	outages        map[string]Record     // hosts in an outage or cold after one
@@ -175,11 +177,21 @@
 		entry.NoticeStatus, entry.RetryAfterMs, entry.Body, entry.InFlight = record.Status, record.RetryAfterMs, nil, false
 	case record.Op == OpEnd:
 		j.compactedBytes -= entry.compactedBytes
+		j.endedBytes += entry.compactedBytes
 		j.releaseCopyBytes(entry)
 		delete(j.entries, record.ID)
 	}
 }
 
+// compactionDivisor is the part of the budget that a compaction has to be able to free before one makes space for a new
+// message: each writes the whole journal, and a full one would be compacted for every message that it has no space for.
+const compactionDivisor = 32
+
+// worthCompacting reports whether a compaction may free enough to be made for a new message.
+func (j *Journal) worthCompacting() bool {
+	return j.fileBytes-j.sizeCompacted+j.endedBytes >= j.budgetBytes/compactionDivisor
+}
+
 // Append writes records and applies them. If it fails, none was recorded. Without space it returns ErrFull.
 func (j *Journal) Append(records ...Record) error {
 	if err := j.checkWritable(); err != nil {
@@ -214,13 +226,13 @@
 		}
 		return file+live+reserve <= j.budgetBytes
 	}
-	if !fits() {
+	if !fits() && (reserve == 0 || j.worthCompacting()) {
 		if err := j.Compact(); err != nil {
 			return err
 		}
-		if !fits() {
-			return ErrFull
-		}
+	}
+	if !fits() {
+		return ErrFull
 	}
 	if _, err := j.file.WriteAt(buf, j.fileBytes); err != nil {
 		// A partial record would hide all records behind it from a replay.
