--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -65,16 +65,18 @@
 	writeGate sendGate // used by any goroutine
 	agreement
 	handoverState
-	chooser        *choice.Chooser
-	events         []choice.Event // for the next step
-	newMessages    []*message     // arrived since the last step, and not accepted yet
-	wakeTimer      *time.Timer
-	wakeAt         time.Duration // when wakeTimer fires, by the relay's clock
-	timerDelays    delayMeter
-	wakeDue        bool               // wakeTimer has fired since the last step
-	callsInFlight  int                // number of calls to endpoints in flight
-	stopped        bool               // no more decisions are made; outcomes are still recorded
-	cancelPlatform context.CancelFunc // ends the goroutines that serve discovery, notices and the keepers' session
+	chooser     *choice.Chooser
+	events      []choice.Event // for the next step
+	newMessages []*message     // arrived since the last step, and not accepted yet
+
+	unrecordedErrors errorThrottle // for messages that could not be recorded
+	wakeTimer        *time.Timer
+	wakeAt           time.Duration // when wakeTimer fires, by the relay's clock
+	timerDelays      delayMeter
+	wakeDue          bool               // wakeTimer has fired since the last step
+	callsInFlight    int                // number of calls to endpoints in flight
+	stopped          bool               // no more decisions are made; outcomes are still recorded
+	cancelPlatform   context.CancelFunc // ends the goroutines that serve discovery, notices and the keepers' session
 }
 
 // New opens the relay's stored state, replays the journal, and starts listening. Call Serve to run the relay.
--- a/internal/relay/step.go
+++ b/internal/relay/step.go
@@ -86,7 +86,9 @@
 			}
 		})
 		if err != nil {
-			slog.Error("message not accepted: could not be recorded", "err", err, "remedy", remedy.Of(err))
+			if suppressed, ok := r.unrecordedErrors.allow(time.Now()); ok {
+				slog.Error("message not accepted: could not be recorded", "err", err, "remedy", remedy.Of(err), "others", suppressed)
+			}
 			r.events = append(r.events, choice.Withdrawn{ID: msg.ID})
 			r.noteRefusal(msg.ID, refusedUnrecorded)
 			r.refuse(msg, defaultRetryAfter)
