Remember the ids of ended messages for longer, by digests

Cause: the relay knew the last 4,096 ids that ended; at full pace that is a few seconds, and a message may come again until its time is up. Change: 1,024 for each MB of memory (32,768 at 32 MB), as salted digests of 8 bytes in place of texts of up to 200, so that 32,768 take less than 4,096 long ids did.

--- a/internal/relay/handover.go
+++ b/internal/relay/handover.go
@@ -45,7 +45,8 @@
 	Departed     []discovery.Server `json:"gone"` // no longer listed, but with calls in flight
 	Memory       choice.Snapshot    `json:"memory"`
 	RunningCalls []runningCall      `json:"calls"`
-	EndedIDs     []string           `json:"past"`             // messages that ended recently
+	EndedIDs     []string           `json:"past,omitempty"`   // messages that ended recently, from an earlier version of the program
+	Ended        recentIDsSnapshot  `json:"ended"`            // messages that ended recently
 	ClientConns  int                `json:"peers"`            // open client connections of the sending process
 	Writer       string             `json:"writer,omitempty"` // writer name under which the replicas know the replication groups
 }
--- a/internal/relay/handover_receive.go
+++ b/internal/relay/handover_receive.go
@@ -111,6 +111,7 @@
 			previous.calls[id] = adopted
 		}
 	}
+	r.endedIDs.restore(previous.Ended)
 	for _, id := range previous.EndedIDs {
 		r.endedIDs.add(id)
 	}
--- a/internal/relay/handover_send.go
+++ b/internal/relay/handover_send.go
@@ -134,7 +134,7 @@
 }
 
 func (r *Relay) newHandoverSnapshot() handoverSnapshot {
-	snapshot := handoverSnapshot{Version: r.appliedVersion, Memory: r.chooser.Snapshot(r.now()), EndedIDs: r.endedIDs.all(), ClientConns: r.clientListener.connCount()}
+	snapshot := handoverSnapshot{Version: r.appliedVersion, Memory: r.chooser.Snapshot(r.now()), Ended: r.endedIDs.snapshot(), ClientConns: r.clientListener.connCount()}
 	if r.replication != nil {
 		snapshot.Writer = r.replication.writer(r.fleetConfig.Instance)
 	}
--- a/internal/relay/records.go
+++ b/internal/relay/records.go
@@ -148,28 +148,3 @@
 	r.release(m)
 	r.endedIDs.add(m.ID)
 }
-
-// all returns the IDs, oldest first.
-func (r *recentIDs) all() []string {
-	return slices.DeleteFunc(slices.Concat(r.ring[min(r.next, len(r.ring)):], r.ring[:r.next]),
-		func(id string) bool { return id == "" })
-}
-
-// recentIDs remembers the last 4096 IDs added.
-type recentIDs struct {
-	ids  map[string]bool
-	ring []string
-	next int
-}
-
-func (r *recentIDs) has(id string) bool { return r.ids[id] }
-
-func (r *recentIDs) add(id string) {
-	if r.ids == nil {
-		r.ids, r.ring = map[string]bool{}, make([]string, 4096)
-	}
-	delete(r.ids, r.ring[r.next])
-	r.ring[r.next] = id
-	r.ids[id] = true
-	r.next = (r.next + 1) % len(r.ring)
-}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -83,7 +83,7 @@
 func New(config Config) (relay *Relay, err error) {
 	settings := config.Settings
 	relay = &Relay{config: config, platformAddr: discovery.NewAddress(config.Discovery), startedAt: time.Now(), inbox: make(chan func(), 1024),
-		messageRecords: messageRecords{pending: map[string]*message{}},
+		messageRecords: messageRecords{pending: map[string]*message{}, endedIDs: newRecentIDs(config.MemoryMB)},
 		endpointList:   endpointList{zoneNames: settings.ZoneNames, hosts: map[string]*host{}, destWaits: map[int]*hostWait{}},
 		quit:           make(chan struct{}), loopEnded: make(chan struct{}), wakeTimer: time.NewTimer(time.Hour)}
 	maxClients, maxIdleHostConns := config.connectionLimits(settings.Workers)
