Do not accept messages that are read after their client has left

Cause: that a client has left was known only from the end of its input, which comes after all that it sent. While anything is unread the byte that net/http reads ahead says that the client is there. Change: before a message goes to the loop, and again before its 202, the state of the connection is asked of the system (TCP_INFO, bytes unread). A client has left if the connection is broken, or its input has ended and it sent more than one request or waited for over 400 ms. A client that only closes its sending direction behind one request is served as before. Where the system does not tell, nothing changes. The refusal is a 503, and so is what follows it. TestHalfClosed* guard the other side.

--- a/internal/relay/api.go
+++ b/internal/relay/api.go
@@ -49,11 +49,15 @@
 	if err != nil {
 		closeAfterMalformed(w, req)
 		if status == http.StatusServiceUnavailable {
-			w.Header().Set("Retry-After", strconv.FormatFloat(defaultRetryAfter.Seconds(), 'f', 3, 64))
+			setRetryAfter(w, defaultRetryAfter)
 		}
 		http.Error(w, err.Error(), status)
 		return
 	}
+	if inboundConnOf(req).clientHasLeft() {
+		r.refuseLeftClient(w, apiReq.entry.ID)
+		return
+	}
 	r.post(func() { r.submit(apiReq) })
 	var response apiResponse
 	select {
@@ -65,12 +69,12 @@
 			response = apiResponse{status: http.StatusServiceUnavailable, retryAfter: defaultRetryAfter, text: "stopping"}
 		}
 	}
-	if response.status == http.StatusAccepted && req.Context().Err() != nil {
+	if response.status == http.StatusAccepted && (req.Context().Err() != nil || inboundConnOf(req).clientHasLeft()) {
 		response = r.responseAfterDisconnect(apiReq)
 	}
 	r.closeIfStopping(w)
 	if response.retryAfter > 0 {
-		w.Header().Set("Retry-After", strconv.FormatFloat(response.retryAfter.Seconds(), 'f', 3, 64))
+		setRetryAfter(w, response.retryAfter)
 	}
 	if response.status == http.StatusAccepted {
 		markSubmitter(req)
@@ -80,6 +84,11 @@
 	http.Error(w, response.text, response.status)
 }
 
+// setRetryAfter sets the time after which a client may send its message again.
+func setRetryAfter(w http.ResponseWriter, wait time.Duration) {
+	w.Header().Set("Retry-After", strconv.FormatFloat(wait.Seconds(), 'f', 3, 64))
+}
+
 // readAPIRequest reads and checks a request. The error text and the status are for the client.
 func (r *Relay) readAPIRequest(req *http.Request, arrivedAt time.Duration) (*apiRequest, int, error) {
 	badRequest := func(text string) (*apiRequest, int, error) { return nil, http.StatusBadRequest, errors.New(text) }
--- a/internal/relay/crowd_rig_test.go
+++ b/internal/relay/crowd_rig_test.go
@@ -25,8 +25,6 @@
 const (
 	smallestMemoryMB = 32
 	mostSockets      = 1024
-	// clientAnswerTimeout is how long a client waits for the answer to a message.
-	clientAnswerTimeout = 400 * time.Millisecond
 	// maxShownLog is how many bytes of a relay's log a failed test shows.
 	maxShownLog = 2000
 	// reconnectPause is how long a peer of a crowd waits before it connects again.
@@ -304,7 +302,7 @@
 	for _, n := range c.statuses {
 		total += n
 	}
-	allowed := clientAnswerTimeout + 2*time.Duration(c.timerLateness.Load())
+	allowed := clientPatience + 2*time.Duration(c.timerLateness.Load())
 	for _, took := range c.answerTimes {
 		longest = max(longest, took)
 		if took > allowed {
--- a/internal/relay/left_client_test.go
+++ b/internal/relay/left_client_test.go
@@ -127,7 +127,7 @@
 					io.WriteString(conn, messageWith(fmt.Sprint("u", i), class, "7", ""))
 				}
 				conn.Close()
-				time.Sleep(clientAnswerTimeout + 50*time.Millisecond) // a client waits no longer
+				time.Sleep(clientPatience + 50*time.Millisecond) // a client waits no longer
 				resume()
 				time.Sleep(settleTime)
 				runs, _ := counter.total()
@@ -199,3 +199,41 @@
 	want(t, "messages that ran twice", repeated, 0)
 	want(t, "runs", runs, clients/2)
 }
+
+// Guards against refusing a client that closes its sending direction behind its request and waits for the answer.
+func TestHalfClosedClientIsServed(t *testing.T) {
+	counter := newRunCounter()
+	platform := newFakePlatform(t, testEndpoint("s-1", newServingHost(t, counter.add), "taller"))
+	relay := startRelay(t, platform, nil)
+	for i := range 20 {
+		conn := dialOrFail(t, relay.Addr())
+		id := fmt.Sprint("h", i)
+		io.WriteString(conn, messageWith(id, "status-update", "7", ""))
+		conn.(*net.TCPConn).CloseWrite()
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(20 * time.Millisecond)
+		want(t, "it ran, if it was accepted", counter.of(id) == 1, resp.StatusCode == http.StatusAccepted)
+	}
+	runs, _ := counter.total()
+	want(t, "most are accepted", runs > 10, true)
+}
+
+// Guards against closing without an answer what a client wrote behind a request before it closed its sending direction.
+func TestHalfClosedClientGetsAnswersToAllRequests(t *testing.T) {
+	platform := newFakePlatform(t, testEndpoint("s-1", newServingHost(t, nil), "taller"))
+	relay := startRelay(t, platform, nil)
+	conn := dialOrFail(t, relay.Addr())
+	io.WriteString(conn, messageWith("a", "status-update", "7", "")+messageWith("b", "status-update", "7", ""))
+	conn.(*net.TCPConn).CloseWrite()
+	reader := bufio.NewReader(conn)
+	for _, id := range []string{"a", "b"} {
+		resp, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			t.Fatalf("answer to %s: %v", id, err)
+		}
+		io.Copy(io.Discard, resp.Body)
+	}
+}
