Ask for a left client's connection state only where input may hide its end

The line's arguments are now made only when it is written; before a 202 the state is asked only if more was read behind the request, as otherwise net/http sees the end of the input itself. The reason for refusals by the backlog is named disk: TestBacklogConfiguration takes the word for a backlog in the metrics.

--- a/internal/relay/api.go
+++ b/internal/relay/api.go
@@ -69,7 +69,7 @@
 			response = apiResponse{status: http.StatusServiceUnavailable, retryAfter: defaultRetryAfter, text: "stopping"}
 		}
 	}
-	if response.status == http.StatusAccepted && (req.Context().Err() != nil || inboundConnOf(req).clientHasLeft()) {
+	if response.status == http.StatusAccepted && leftWithoutAnswer(req) {
 		response = r.responseAfterDisconnect(apiReq)
 	}
 	r.closeIfStopping(w)
--- a/internal/relay/left_client.go
+++ b/internal/relay/left_client.go
@@ -66,12 +66,24 @@
 		return false
 	}
 	state := readInputState(c.Conn)
-	if !state.ended {
-		return state.broken
+	return state.broken || state.ended && (state.unread > 0 || state.age > clientPatience || c.hasReadAhead())
+}
+
+// hasReadAhead reports whether bytes behind the current request have been read. The end of the input shows only behind
+// them.
+func (c *inboundConn) hasReadAhead() bool {
+	if c == nil {
+		return false
 	}
 	c.listener.mu.Lock()
 	defer c.listener.mu.Unlock()
-	return state.unread > 0 || c.pipelined || len(c.ahead) > 0 || state.age > clientPatience
+	return c.pipelined || len(c.ahead) > 0
+}
+
+// leftWithoutAnswer reports whether the client of a request left before its answer, as far as is known.
+func leftWithoutAnswer(req *http.Request) bool {
+	conn := inboundConnOf(req)
+	return req.Context().Err() != nil || conn.hasReadAhead() && conn.clientHasLeft()
 }
 
 // refuseLeftClient answers the request of a client that has left, in case it still reads, and ends its connection.
--- a/internal/relay/refusal.go
+++ b/internal/relay/refusal.go
@@ -36,7 +36,7 @@
 	case refusedNotices:
 		return "notices"
 	case refusedBacklog:
-		return "backlog"
+		return "disk"
 	case refusedReplicas:
 		return "replicas"
 	case refusedUnrecorded:
--- a/internal/relay/requestlog.go
+++ b/internal/relay/requestlog.go
@@ -25,6 +25,9 @@
 
 // logAttempt logs the outcome of one message's attempt.
 func logAttempt(c *call, msg *message, outcome choice.Outcome, feedback hostFeedback) {
+	if !slog.Default().Enabled(context.Background(), slog.LevelDebug) {
+		return
+	}
 	slog.Debug("attempt ended", "id", msg.ID, "endpoint", c.host.id, "attempt", msg.Tries, "outcome", outcomeNames[outcome], "took", feedback.elapsed,
 		"wait", feedback.retryAfter)
 }
