Do not wait for bodies that no handler reads

Cause: net/http reads the rest of a body before it writes a response, so each such peer held its connection for 2 s as one in service. Now only POST /api waits for its body.

--- a/internal/relay/crowd_test.go
+++ b/internal/relay/crowd_test.go
@@ -83,6 +83,14 @@
 		io.WriteString(conn, "GET /up HTTP/1.1\r\nHost: x\r\n\r\n"+messageHead(number, maxBodyBytes)+"\r\n")
 		conn.Write(make([]byte, maxBodyBytes-1000))
 	}},
+	{"body behind a request that needs none, which stops", func(conn net.Conn, _ int) {
+		io.WriteString(conn, "GET /up HTTP/1.1\r\nHost: x\r\nContent-Length: 30000\r\n\r\n")
+		conn.Write(make([]byte, 1000))
+	}},
+	{"whole large messages", func(conn net.Conn, number int) {
+		io.WriteString(conn, messageHead(number, maxBodyBytes)+"\r\n")
+		conn.Write(make([]byte, maxBodyBytes))
+	}},
 	{"body of 8 MB", func(conn net.Conn, number int) {
 		io.WriteString(conn, messageHead(number, 8<<20)+"\r\n")
 		for range 128 {
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -17,7 +17,7 @@
 // handler returns the handler of the clients' address.
 func (r *Relay) handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /up", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	mux.Handle("GET /up", ignoreBodies(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })))
 	mux.HandleFunc("POST /api", r.serveAPI)
 	return r.closeWhileStopping(requireClearFraming(mux))
 }
@@ -45,6 +45,16 @@
 // ignoreRest has the connection of a request end with the response to it.
 func ignoreRest(req *http.Request) { inboundConnOf(req).ignoreRest() }
 
+// ignoreBodies serves requests without waiting for their bodies, which no handler here needs.
+func ignoreBodies(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		if req.ContentLength != 0 {
+			ignoreRest(req)
+		}
+		next.ServeHTTP(w, req)
+	})
+}
+
 // bodyTooLargeResponse answers a request whose body exceeds maxBodyBytes.
 const bodyTooLargeResponse = "HTTP/1.1 413 Request Entity Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 
