--- a/internal/journal/compact.go
+++ b/internal/journal/compact.go
@@ -11,49 +11,15 @@
 
 // Compact writes all that is still needed to a new file and replaces the old one with it.
 func (j *Journal) Compact() error {
-	var buf []byte
-	order := j.order[:0:0]
-	for e := range j.All() {
-		buf = appendFrame(buf, Record{Op: OpAccepted, Entry: e})
-		order = append(order, orderEntry{e.ID, e.sequence})
-	}
-	for id, record := range j.outages {
-		if steady.Since(record.At) > outageExpiry { // its host may have been removed from the discovery list since
-			j.compactedBytes -= historyBytes
-			delete(j.outages, id)
-			continue
-		}
-		buf = appendFrame(buf, record)
-	}
-	for id, record := range j.disabledHosts {
-		if !record.Flag && steady.Since(record.At) > outageExpiry { // the host was enabled long ago and is warm
-			j.compactedBytes -= historyBytes
-			delete(j.disabledHosts, id)
-			continue
-		}
-		buf = appendFrame(buf, record)
-	}
-	for id, record := range j.retryAfters {
-		if steady.Since(record.At) > time.Duration(record.WaitMs)*time.Millisecond {
-			j.compactedBytes -= historyBytes
-			delete(j.retryAfters, id)
-			continue
-		}
-		buf = appendFrame(buf, record)
-	}
-	if j.classTerms != nil {
-		buf = appendFrame(buf, Record{Op: OpClassTerms, ClassTerms: j.classTerms})
-	}
-	for _, state := range j.groups {
-		buf = appendFrame(buf, Record{Op: OpGroupState, GroupState: &state})
-	}
 	// A file written under a larger budget may leave no space for its copy within this one. It stays until the copy is
 	// complete: accepted messages are still due if the copy cannot be written or the process is killed in between.
 	file, err := os.OpenFile(j.path+".next", os.O_CREATE|os.O_TRUNC|os.O_RDWR, 0o600)
 	if err != nil {
 		return diskFailure("it could not be written anew", err)
 	}
-	_, err = file.Write(buf)
+	writer := &frameWriter{out: file}
+	order := j.writeLive(writer)
+	err = writer.flush()
 	if err == nil {
 		err = os.Rename(j.path+".next", j.path)
 	}
@@ -65,11 +31,47 @@
 	if j.file != nil {
 		j.file.Close()
 	}
-	j.file, j.fileBytes, j.order, j.writeError, j.partialRecord, j.stopped = file, int64(len(buf)), order, nil, false, false
+	j.file, j.fileBytes, j.order, j.writeError, j.partialRecord, j.stopped = file, writer.written, order, nil, false, false
 	j.sizeCompacted, j.endedBytes = j.fileBytes, 0
 	return nil
 }
 
+// writeLive writes all that is still needed, and drops what has expired. It returns the order of the messages.
+func (j *Journal) writeLive(writer *frameWriter) (order []orderEntry) {
+	for e := range j.All() {
+		writer.append(Record{Op: OpAccepted, Entry: e})
+		order = append(order, orderEntry{e.ID, e.sequence})
+	}
+	j.writeUnexpired(writer, j.outages, func(record Record) bool { // its host may have been removed from the discovery list since
+		return steady.Since(record.At) > outageExpiry
+	})
+	j.writeUnexpired(writer, j.disabledHosts, func(record Record) bool { // the host was enabled long ago and is warm
+		return !record.Flag && steady.Since(record.At) > outageExpiry
+	})
+	j.writeUnexpired(writer, j.retryAfters, func(record Record) bool {
+		return steady.Since(record.At) > time.Duration(record.WaitMs)*time.Millisecond
+	})
+	if j.classTerms != nil {
+		writer.append(Record{Op: OpClassTerms, ClassTerms: j.classTerms})
+	}
+	for _, state := range j.groups {
+		writer.append(Record{Op: OpGroupState, GroupState: &state})
+	}
+	return order
+}
+
+// writeUnexpired writes the records of hosts, and drops those that have expired.
+func (j *Journal) writeUnexpired(writer *frameWriter, records map[string]Record, expired func(Record) bool) {
+	for id, record := range records {
+		if expired(record) {
+			j.compactedBytes -= historyBytes
+			delete(records, id)
+			continue
+		}
+		writer.append(record)
+	}
+}
+
 // StopWriting makes all further writes fail with err, as another process may own the file by now. A successful Compact
 // ends this state.
 func (j *Journal) StopWriting(err error) { j.writeError, j.partialRecord, j.stopped = err, false, true }
--- a/internal/journal/records.go
+++ b/internal/journal/records.go
@@ -97,14 +97,11 @@
 	Removed bool                          `json:"over,omitempty"` // the group is removed from the journal
 }
 
+// appendFrame appends an encoded record to a buffer.
 func appendFrame(buf []byte, r Record) []byte {
-	payload, err := json.Marshal(r)
-	if err != nil {
-		panic(err) // no field of a record can fail to encode
-	}
-	buf = binary.LittleEndian.AppendUint32(buf, uint32(len(payload)))
-	buf = binary.LittleEndian.AppendUint32(buf, crc32.ChecksumIEEE(payload))
-	return append(buf, payload...)
+	var frames frameBuffer
+	frames.append(r)
+	return append(buf, frames.buf.Bytes()...)
 }
 
 // decodeFrame decodes the record at the start of data and returns its length. For a truncated or corrupt record it returns
