Limit how much memory requests may begin to use in 100 ms

Requests beyond 4 KiB may now use a twentieth of the memory limit at once (a tenth before) and as much anew in 100 ms: 16 MB/s at 32 MB. Others wait up to 200 ms or are answered 503, as before.

--- a/internal/relay/inbound_memory.go
+++ b/internal/relay/inbound_memory.go
@@ -15,12 +15,14 @@
 	headByteCost  = 2
 	headFieldCost = 128
 	// clientMemoryDivisor and adminMemoryDivisor are the parts of the memory limit for requests at the two addresses.
-	clientMemoryDivisor = 10
+	clientMemoryDivisor = 20
 	adminMemoryDivisor  = 64
 	// maxMemoryWaiters and maxMemoryWait limit how many requests wait for memory at a time, and how long: clients wait
 	// 400 ms for their answer.
 	maxMemoryWaiters = 16
 	maxMemoryWait    = 200 * time.Millisecond
+	// memoryWindow is the time in which as much memory as the limit may be used anew.
+	memoryWindow = 100 * time.Millisecond
 )
 
 // errNoMemory refuses a request because too many others are incomplete.
@@ -50,14 +52,24 @@
 	if growth <= 0 || l.memoryLimit <= 0 {
 		return true
 	}
-	if l.reserved+growth > l.memoryLimit && !l.awaitMemory(c, growth) {
+	if !l.hasMemory(growth) && !l.awaitMemory(c, growth) {
 		return false
 	}
 	c.reserved += growth
 	l.reserved += growth
+	l.windowBytes += growth
 	return true
 }
 
+// hasMemory reports whether a request may use more memory now. As much as the limit may be used anew in each window: the
+// collector has to free all of it, at the cost of the other requests. The caller holds the mutex.
+func (l *limitListener) hasMemory(bytes int64) bool {
+	if now := time.Now(); now.Sub(l.windowStart) >= memoryWindow {
+		l.windowStart, l.windowBytes = now, 0
+	}
+	return l.reserved+bytes <= l.memoryLimit && l.windowBytes+bytes <= l.memoryLimit
+}
+
 // awaitMemory waits until memory is free for a connection's request, and reports whether it is. Few requests wait at a
 // time, and not for long, so that the others are refused at once. The caller holds the mutex, which is released during
 // the wait.
@@ -68,15 +80,14 @@
 	l.memoryWaiters++
 	defer func() { l.memoryWaiters-- }()
 	failed := func() bool { return c.evicted || c.locallyClosed }
-	available := func() bool { return l.reserved+bytes <= l.memoryLimit }
-	for start := time.Now(); !available() && time.Since(start) < maxMemoryWait; {
+	for start := time.Now(); !l.hasMemory(bytes) && time.Since(start) < maxMemoryWait; {
 		l.evictFor(bytes, c)
-		l.waitFor(func() bool { return failed() || available() })
+		l.waitFor(func() bool { return failed() || l.hasMemory(bytes) })
 		if failed() {
 			return false
 		}
 	}
-	return available()
+	return l.hasMemory(bytes)
 }
 
 // evictFor makes incomplete requests fail that had their time, the oldest first, until enough memory is free or is about
--- a/internal/relay/limit_listener.go
+++ b/internal/relay/limit_listener.go
@@ -36,6 +36,8 @@
 	reserved    int64 // bytes that they use
 
 	memoryWaiters int // requests that wait for memory
+	windowStart   time.Time
+	windowBytes   int64 // bytes that requests began to use since windowStart
 	pace          sharedPace
 
 	draining         bool      // the listener closes once its queue is empty
