Compute the decay of a unit's rate alike on every machine

The compiler's fusing in plain builds for arm64, and math.Exp2 in share.go (assembly on arm64 only), can still differ there.

--- a/choice/health.go
+++ b/choice/health.go
@@ -130,7 +130,7 @@
 	u.latencySec = cmp.Or(u.latencySec, took.Seconds())
 	u.latencySec += (took.Seconds() - u.latencySec) / 8
 	warmUp := c.settings.Rules.WarmUp.Seconds()
-	u.servedRate = u.servedRate*math.Exp(-(c.now-u.lastServed).Seconds()/warmUp) + 1/warmUp
+	u.servedRate = u.servedRate*exp(-(c.now-u.lastServed).Seconds()/warmUp) + 1/warmUp
 	shortOutage := u.badStreak == 0 || !u.sawErrors && c.now-u.lastServed < c.settings.Rules.OverloadWindow
 	u.lastServed = c.now
 	if u.state == suspect && (c.now-took < u.connRefusedAt ||
