--- a/internal/lab/platform/clients_test.go
+++ b/internal/lab/platform/clients_test.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -118,7 +119,7 @@
 	if !message(valid) {
 		t.Fatal("the check does not recognize a valid message")
 	}
-	for _, m := range behaviours {
+	for _, m := range slices.Concat(behaviours, crowdBehaviours) {
 		for range 50 {
 			if sent := bytes.Join(m.pieces(r, valid), nil); message(sent) {
 				t.Fatalf("behaviour %q sends a valid message: %q", m.name, sent)
--- a/internal/lab/platform/strangers.go
+++ b/internal/lab/platform/strangers.go
@@ -112,16 +112,20 @@
 		case <-time.After(time.Duration(r.ExpFloat64() / s.Scenario.Load.Strangers * float64(time.Second))):
 		}
 		m := behaviours[i%len(behaviours)]
-		valid := fmt.Appendf(nil, "POST /api HTTP/1.1\r\nHost: api.internal\r\nX-Request-Id: s%09x%08x\r\nX-Class: %s\r\nX-Tenant: %s\r\n"+
-			"X-Deadline-Ms: 900\r\nIdempotency-Key: %016x%016x\r\nX-Addressing: dest=0\r\nContent-Length: 5\r\n\r\nhello",
-			i, uint32(s.Scenario.Seed), s.Draw.Classes[0].Name, s.Draw.Tenants[0].Name, r.Uint64(), r.Uint64())
-		pieces := m.pieces(r, valid)
+		pieces := m.pieces(r, s.validRequest(r, fmt.Sprintf("s%09x%08x", i, uint32(s.Scenario.Seed))))
 		if relay, addr := s.Relays.next(); relay != "" {
 			open.Go(func() { s.runOne(m, pieces, relay, addr) })
 		}
 	}
 }
 
+// validRequest returns a request with a message, which strangers send in a form that is not valid.
+func (s *Strangers) validRequest(r *rand.Rand, id string) []byte {
+	return fmt.Appendf(nil, "POST /api HTTP/1.1\r\nHost: api.internal\r\nX-Request-Id: %s\r\nX-Class: %s\r\nX-Tenant: %s\r\n"+
+		"X-Deadline-Ms: 900\r\nIdempotency-Key: %016x%016x\r\nX-Addressing: dest=0\r\nContent-Length: 5\r\n\r\nhello",
+		id, s.Draw.Classes[0].Name, s.Draw.Tenants[0].Name, r.Uint64(), r.Uint64())
+}
+
 // runOne connects one stranger, sends its pieces, and records how the relay responded.
 func (s *Strangers) runOne(m behaviour, pieces [][]byte, relay, addr string) {
 	d := net.Dialer{Timeout: time.Second}
--- a/internal/lab/play.go
+++ b/internal/lab/play.go
@@ -39,6 +39,7 @@
 	defer endLoad()
 	parts.Go(func() { run.clients.Submit(loadCtx) })
 	parts.Go(func() { run.strangers.Connect(loadCtx) })
+	parts.Go(func() { run.strangers.ConnectCrowd(loadCtx) })
 	go run.watchRelays(ctx, startedAt, checks)
 	parts.Wait()
 	maxWait := time.Duration(run.scenario.Load.Deadline) + 8*time.Second
--- a/internal/lab/proc/proc.go
+++ b/internal/lab/proc/proc.go
@@ -145,6 +145,7 @@
 type Usage struct {
 	CPU         time.Duration // processor time since it started
 	MemoryMB    float64
+	PeakMB      float64 // of MemoryMB since the process started
 	Descriptors int
 }
 
@@ -167,11 +168,24 @@
 	pages, _ := strconv.ParseFloat(fields[21], 64)
 	u.CPU = time.Duration((user + system) / ticksPerSecond * float64(time.Second))
 	u.MemoryMB = pages * float64(os.Getpagesize()) / 1e6
+	u.PeakMB = max(u.MemoryMB, peakMB(dir))
 	names, err := os.ReadDir(filepath.Join(dir, "fd"))
 	u.Descriptors = len(names)
 	return u, err
 }
 
+// peakMB returns the most memory in MB that a process had since it started, 0 if that is unknown. The parameter is its
+// directory in /proc.
+func peakMB(dir string) float64 {
+	status, _ := os.ReadFile(filepath.Join(dir, "status"))
+	_, value, _ := strings.Cut(string(status), "VmHWM:")
+	if fields := strings.Fields(value); len(fields) > 0 {
+		kib, _ := strconv.ParseFloat(fields[0], 64)
+		return kib * 1024 / 1e6
+	}
+	return 0
+}
+
 // DirMB returns the size in MB (10^6 bytes) of the regular files directly in a directory, each rounded up to blocks of 512 bytes.
 func DirMB(dir string) (float64, error) {
 	names, err := os.ReadDir(dir)
--- a/internal/lab/restart.go
+++ b/internal/lab/restart.go
@@ -127,7 +127,7 @@
 		row.Usage = usage
 		disk, _ := proc.DirMB(filepath.Join(r.dir, "state"))
 		r.run.record(history.Event{Kind: history.Sample, Proc: r.name, PID: p.PID, Values: map[string]float64{"cpu_s": usage.CPU.Seconds(),
-			"memory_mb": usage.MemoryMB, "descriptors": float64(usage.Descriptors), "disk_mb": disk}})
+			"memory_mb": usage.MemoryMB, "peak_memory_mb": usage.PeakMB, "descriptors": float64(usage.Descriptors), "disk_mb": disk}})
 	}
 	if paused {
 		return row
--- a/internal/lab/rules/processes.go
+++ b/internal/lab/rules/processes.go
@@ -98,7 +98,7 @@
 		return
 	}
 	c.countCheck(Process)
-	for name, limit := range map[string]float64{"memory_mb": limits.MemoryMB, "descriptors": limits.Sockets, "disk_mb": limits.DiskMB} {
+	for name, limit := range map[string]float64{"memory_mb": limits.MemoryMB, "peak_memory_mb": limits.MemoryMB, "descriptors": limits.Sockets, "disk_mb": limits.DiskMB} {
 		if value := e.Values[name]; value > limit {
 			c.addViolation(Process, e.At, "", fmt.Sprintf("%s is %.1f, of %.1f", name, value, limit), []string{e.Proc}, e)
 		}
--- a/internal/lab/scenario/check.go
+++ b/internal/lab/scenario/check.go
@@ -67,6 +67,7 @@
 	checkRange("load.pipelined", s.Load.Pipelined, 0, 1)
 	checkRange("load.half-closed", s.Load.HalfClosed, 0, 1)
 	checkRange("load.strangers", s.Load.Strangers, 0, 1000)
+	checkRange("load.crowd", float64(s.Load.Crowd), 0, 2000)
 	if len(s.Load.Classes) == 0 {
 		addError("load.classes", "must name at least one of %s", strings.Join(ClassKinds, ", "))
 	}
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -88,6 +88,7 @@
 	Classes   []string `toml:"classes"`
 	Clump     int      `toml:"clump"`     // mean number of messages for one destination that arrive at once; 1 for single messages
 	Strangers float64  `toml:"strangers"` // peers per second that send no valid message, or nothing
+	Crowd     int      `toml:"crowd"`     // peers that keep connected and hold as much of a relay's memory as each may
 	// Pipelined is the share of messages behind which another one is written before the first is answered.
 	Pipelined float64 `toml:"pipelined"`
 	// HalfClosed is the share of messages whose client closes its sending side after the request and waits for the answer.
--- a/internal/lab/soak_test.go
+++ b/internal/lab/soak_test.go
@@ -13,7 +13,7 @@
 const soakParallelRuns = 3
 
 // soakScenario returns a random scenario in which endpoints drain while discovery, links, endpoints and relays fail, relays get
-// series of signals, and in some runs many strangers connect. Clients use their connections until the relay is killed.
+// series of signals, and in some runs many strangers connect, or a crowd that holds memory. Clients use their connections until the relay is killed.
 func soakScenario(seed uint64) string {
 	r := rand.New(rand.NewPCG(seed, 0x50a1))
 	relays := []int{3, 5, 7, 14}[r.IntN(4)]
@@ -21,11 +21,15 @@
 	if r.IntN(3) == 0 {
 		sockets, strangers = 160, 25
 	}
+	memoryMB, crowd := 64, 0
+	if crowdDraws := rand.New(rand.NewPCG(seed, 0x50a2)); crowdDraws.IntN(3) == 0 { // the smallest limits that the pages name
+		relays, memoryMB, sockets, crowd = 3, 32, 1024, 200+crowdDraws.IntN(500)
+	}
 	var s strings.Builder
-	fmt.Fprintf(&s, "name = \"soak, seed %d\"\nseed = %d\nduration = \"18s\"\n[fleet]\nrelays = %d\nzones = [\"a\", \"b\"]\ncores = 2.0\nsockets = %d\n"+
+	fmt.Fprintf(&s, "name = \"soak, seed %d\"\nseed = %d\nduration = \"18s\"\n[fleet]\nrelays = %d\nzones = [\"a\", \"b\"]\ncores = 2.0\nmemory-mb = %d\nsockets = %d\n"+
 		"[platform]\ndestinations = 3\nendpoints = 4\nlatency = \"%dms\"\ncold = \"3s\"\nlimit = 300.0\n"+
-		"[load]\nrate = 90.0\nburst = 1.5\ndeadline = \"5s\"\nclients = 12\nearly = 0.01\nclasses = [\"keyed\", \"safe\", \"once\"]\npipelined = 0.1\nhalf-closed = 0.03\nstrangers = %g\n[expect]\npromised = 0\n",
-		seed, seed, relays, sockets, 20+r.IntN(150), strangers)
+		"[load]\nrate = 90.0\nburst = 1.5\ndeadline = \"5s\"\nclients = 12\nearly = 0.01\nclasses = [\"keyed\", \"safe\", \"once\"]\npipelined = 0.1\nhalf-closed = 0.03\nstrangers = %g\ncrowd = %d\n[expect]\npromised = 0\n",
+		seed, seed, relays, memoryMB, sockets, 20+r.IntN(150), strangers, crowd)
 	fault := func(at float64, text string, args ...any) {
 		fmt.Fprintf(&s, "[[fault]]\nat = \"%dms\"\n%s\n", int(1000*at), fmt.Sprintf(text, args...))
 	}
