Share the memory limit between the two processes of an upgrade

Each took the whole limit for its own. From the handover until the end of the old process each now has half: of the runtime's limit, of what requests may use, and of the connections; the old one closes quiet ones that submitted no message.

--- a/cmd/larchrouter/main.go
+++ b/cmd/larchrouter/main.go
@@ -19,6 +19,10 @@
 // logFlushTimeout bounds the wait for the last lines of the log to be written when the process ends.
 const logFlushTimeout = 100 * time.Millisecond
 
+// runtimeMemoryPart is the part of the memory limit for the Go runtime. The rest is for files, which count towards the memory as
+// well, for the program itself, and for the runtime, whose limit is not exact.
+const runtimeMemoryPart = 0.6
+
 // logLevelVariable is the environment variable with the minimum level of logged messages: debug, info, warn or error. At level
 // debug each request to an endpoint, each call for the list and each change of the list's lease is logged.
 const logLevelVariable = "LARCHROUTER_LOG"
@@ -54,7 +58,8 @@
 	}
 	runtime.GOMAXPROCS(max(1, int(conf.Cores)))
 	if conf.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(conf.MemoryMB*0.6) << 20) // the rest is for files, which count towards the memory as well, and for the runtime, whose limit is not exact
+		conf.LimitMemory = func(part float64) { debug.SetMemoryLimit(int64(conf.MemoryMB * runtimeMemoryPart * part * (1 << 20))) }
+		conf.LimitMemory(1)
 	}
 	stop := make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -33,6 +33,8 @@
 	Fleet       *fleet.Config // nil for a relay that is not part of a fleet
 	Backlog     *Backlog      // nil for a relay without a backlog on disk
 
+	LimitMemory func(part float64) // sets the memory limit of the Go runtime to a part of its value at the start; may be nil
+
 	rawSettings json.RawMessage // as they stand in the file
 }
 
--- a/internal/relay/crowd_related_test.go
+++ b/internal/relay/crowd_related_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -120,3 +121,37 @@
 	}()
 	return l.Addr().String()
 }
+
+// Guards against an upgrade in a crowd that makes the two processes together pass the limit that they share. Pages of the
+// program's file, which they have in common, count once.
+func TestUpgradeInCrowdStaysWithinMemoryLimit(t *testing.T) {
+	platform := newFakePlatform(t, testEndpoint("s-1", newServingHost(t, nil), "taller"))
+	state := t.TempDir()
+	old := startLimitedProcess(t, platform, state, nil)
+	orderly := startOrderlyClients(old.addr, "o", 10, 100*time.Millisecond)
+	peers := startCrowd(old.addr, crowdSize, func(conn net.Conn, number int) {
+		io.WriteString(conn, messageHead(number, maxBodyBytes)+"\r\n")
+		conn.Write(make([]byte, maxBodyBytes-1000))
+	})
+	time.Sleep(crowdDuration / 4)
+	next := startLimitedProcessAt(t, platform, state, old.addr, nil)
+	var most int64
+	sample := func(duration time.Duration) {
+		for start := time.Now(); time.Since(start) < duration; time.Sleep(5 * time.Millisecond) {
+			files := max(old.statusBytes("RssFile"), next.statusBytes("RssFile"))
+			most = max(most, old.statusBytes("RssAnon")+next.statusBytes("RssAnon")+files+old.maxFiles.Load())
+		}
+	}
+	sample(crowdDuration / 4)
+	if err := old.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	sample(crowdDuration)
+	t.Logf("both processes and their files: %.1f MB at most", float64(most)/1e6)
+	if most > smallestMemoryMB*1e6 {
+		t.Errorf("both processes together had %.1f MB, want at most %d", float64(most)/1e6, smallestMemoryMB)
+	}
+	peers.check(t)
+	orderly.check(t, crowdServedShare)
+	next.checkMemory(t)
+}
--- a/internal/relay/crowd_rig_test.go
+++ b/internal/relay/crowd_rig_test.go
@@ -66,7 +66,13 @@
 // startLimitedProcess starts the program at the smallest limits. configure, which may be nil, changes its configuration.
 func startLimitedProcess(t *testing.T, platform *fakePlatform, state string, configure func(string) string) *limitedProcess {
 	t.Helper()
-	p := &limitedProcess{addr: freeAddress(t), admin: freeAddress(t), state: state, platform: platform, stop: make(chan struct{}), exited: make(chan struct{})}
+	return startLimitedProcessAt(t, platform, state, freeAddress(t), configure)
+}
+
+// startLimitedProcessAt starts it at an address, which a process of the same state directory may have.
+func startLimitedProcessAt(t *testing.T, platform *fakePlatform, state, addr string, configure func(string) string) *limitedProcess {
+	t.Helper()
+	p := &limitedProcess{addr: addr, admin: freeAddress(t), state: state, platform: platform, stop: make(chan struct{}), exited: make(chan struct{})}
 	path, err := buildProgram()
 	if err != nil {
 		t.Fatal(err)
@@ -96,21 +102,25 @@
 			t.Logf("end of the relay's log:\n%s", text[max(0, len(text)-maxShownLog):])
 		}
 	})
-	awaitUp(t, p.addr)
+	awaitReady(t, p.admin)
 	p.sampler.Go(p.sample)
 	return p
 }
 
-// awaitUp waits until a relay answers.
-func awaitUp(t *testing.T, addr string) {
+// awaitReady waits until a relay is ready, by its admin address.
+func awaitReady(t *testing.T, admin string) {
 	t.Helper()
 	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
-		if resp, err := http.Get("http://" + addr + "/up"); err == nil {
-			resp.Body.Close()
+		resp, err := http.Get("http://" + admin + "/ready")
+		if err != nil {
+			continue
+		}
+		resp.Body.Close()
+		if resp.StatusCode == http.StatusOK {
 			return
 		}
 	}
-	t.Fatal("the relay is not up within 10 s")
+	t.Fatal("the relay is not ready within 10 s")
 }
 
 // sample records the largest size of the state directory until the measurement ends.
--- a/internal/relay/handover_receive.go
+++ b/internal/relay/handover_receive.go
@@ -140,6 +140,7 @@
 			r.endOrphanedCalls(previous)
 			maxClients, _ := r.config.connectionLimits(r.settings.Load().Workers)
 			r.clientListener.setLimit(maxClients)
+			r.useMemoryPart(1)
 			slog.Info("the previous process has ended")
 		})
 	}()
--- a/internal/relay/handover_send.go
+++ b/internal/relay/handover_send.go
@@ -98,6 +98,7 @@
 	r.handoverListener.Close()
 	r.closeReplication()
 	r.cancelPlatform()
+	r.makeSpaceForNextProcess()
 	r.tcpListener.Close()                         // the next process has the socket with its accept queue
 	r.hostTransport.Load().CloseIdleConnections() // both processes share one limit on descriptors
 	go func() {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -117,6 +117,9 @@
 		return nil, err
 	}
 	tcp, handover := relay.tcpListener, relay.previousProcess
+	if handover != nil {
+		relay.useMemoryPart(sharedMemoryPart)
+	}
 	defer func() {
 		if err != nil {
 			tcp.Close()
@@ -169,7 +172,8 @@
 	relay.clientServer = newHTTPServer(relay.handler(), relay.clientListener)
 	if handover := relay.previousProcess; handover != nil {
 		// Until the previous process has ended, both processes share the limit on sockets.
-		relay.clientListener.setLimit(max(maxClients/4, maxClients-handover.ClientConns))
+		relay.clientListener.setLimit(max(maxClients/4, min(int(sharedMemoryPart*float64(maxClients)), maxClients-handover.ClientConns)))
+		relay.useMemoryPart(sharedMemoryPart)
 		relay.applyList(discovery.List{Version: handover.Version, Full: true, Servers: append(handover.Servers, handover.Departed...)})
 		relay.adoptCalls(handover)
 		if relay.replication != nil {
