--- a/internal/relay/crowd_related_test.go
+++ b/internal/relay/crowd_related_test.go
@@ -155,3 +155,19 @@
 	orderly.check(t, crowdServedShare)
 	next.checkMemory(t)
 }
+
+// Guards against a limit on connections that keeps out clients which hold a third of the descriptors, as they may, while a
+// crowd is there.
+func TestThirdOfDescriptorsIsServedInCrowd(t *testing.T) {
+	platform := newFakePlatform(t, testEndpoint("s-1", newServingHost(t, nil), "taller"))
+	relay := startLimitedProcess(t, platform, t.TempDir(), nil)
+	orderly := startOrderlyClients(relay.addr, "o", mostSockets/3-10, 2*time.Second)
+	time.Sleep(crowdDuration / 2)
+	peers := startCrowd(relay.addr, crowdSize/2, func(conn net.Conn, number int) {
+		crowdBehaviours[number%len(crowdBehaviours)].behave(conn, number)
+	})
+	time.Sleep(crowdDuration)
+	peers.check(t)
+	orderly.check(t, crowdServedShare)
+	relay.checkMemory(t)
+}
--- a/internal/relay/flood_test.go
+++ b/internal/relay/flood_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"strings"
 	"testing"
@@ -130,3 +131,18 @@
 		})
 	}
 }
+
+// Guards against a flood of messages that holds up others once the journal is full, because the platform takes no notices.
+func TestFloodWithFullJournalLeavesOthersTheirAnswers(t *testing.T) {
+	platform := newFakePlatform(t, testEndpoint("s-1", newServingHost(t, nil), "taller"))
+	platform.failingNotices = math.MaxInt
+	state := t.TempDir()
+	fillJournal(t, state)
+	relay := startLimitedProcess(t, platform, state, nil)
+	orderly := startOrderlyClients(relay.addr, "o", 10, 100*time.Millisecond)
+	flooding := startFlood(relay.addr, func(n int) string { return messageWith(longName(n), "status-update", "7", "") })
+	time.Sleep(floodDuration)
+	flooding.end()
+	orderly.check(t, 0)
+	relay.checkMemory(t)
+}
--- a/internal/relay/limit_listener.go
+++ b/internal/relay/limit_listener.go
@@ -50,15 +50,6 @@
 	changed *sync.Cond // signals that a connection was closed or is kept open
 }
 
-// partialRequestGrace is how long an incomplete request is protected while connections are at the limit.
-const partialRequestGrace = 250 * time.Millisecond
-
-// newRequestGrace is how long a connection without a request is protected: new ones mostly bring a request with them.
-const newRequestGrace = 5 * time.Millisecond
-
-// evictionBatch is how many connections without a request are closed at a time.
-const evictionBatch = 8
-
 // newLimitListener returns a listener that limits the connections accepted by another one.
 func newLimitListener(l net.Listener, limit int) *limitListener {
 	p := &limitListener{Listener: l, limit: limit, configuredLimit: limit, open: map[*inboundConn]struct{}{}}
@@ -145,100 +136,9 @@
 	shortageRecovery   = 10 * time.Second      // time without a shortage after which the limit rises again
 )
 
-// makeSpace makes space for one more connection, and reports whether there is space.
-func (l *limitListener) makeSpace() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for len(l.open)-l.lingering >= l.limit {
-		candidate := l.evictionCandidate()
-		switch {
-		case candidate == nil:
-			return false
-		case candidate.readingBody:
-			candidate.evict(closedForSpace)
-			if !l.waitFor(func() bool { return candidate.locallyClosed || candidate.closed }) {
-				return false
-			}
-		case !candidate.requestStart.IsZero():
-			candidate.evict(closedForSpace)
-		case !l.closedOrKept(candidate):
-			return false
-		}
-	}
-	l.limitLingering()
-	return true
-}
-
 // maxLingering returns how many connections may wait for the remote side, in addition to those that are served.
 func (l *limitListener) maxLingering() int { return max(2, l.limit/8) }
 
-// evictionCandidate returns the connection to close for a new one, or nil if there is none. The caller holds the mutex.
-func (l *limitListener) evictionCandidate() (candidate *inboundConn) {
-	now := time.Now()
-	for c := range l.open {
-		if !c.mayBeEvicted(now) {
-			continue
-		}
-		if candidate == nil || c.evictionRank(now) < candidate.evictionRank(now) ||
-			c.evictionRank(now) == candidate.evictionRank(now) && c.stateSince.Before(candidate.stateSince) {
-			candidate = c
-		}
-	}
-	return candidate
-}
-
-// mayBeEvicted reports whether a connection may be closed for another one: not while it serves a request, unless that
-// waits for its body for long. The caller holds the mutex.
-func (c *inboundConn) mayBeEvicted(now time.Time) bool {
-	if c.locallyClosed || c.evicted {
-		return false
-	}
-	if c.readingBody {
-		return now.Sub(c.requestStart) > partialRequestGrace
-	}
-	return !c.active && (c.requestStart.IsZero() || c.inHead())
-}
-
-// evictionRank orders connections that may be evicted, those to close first with the lowest rank. The request of a new
-// connection may be on its way. The caller holds the mutex.
-func (c *inboundConn) evictionRank(now time.Time) int {
-	partial := !c.requestStart.IsZero()
-	switch {
-	case !c.submittedMessage && c.quietFor(now) > partialRequestGrace:
-		return 0
-	case !partial && !c.submittedMessage && c.quietFor(now) > newRequestGrace:
-		return 1
-	case !partial && c.submittedMessage:
-		return 2
-	}
-	return 3
-}
-
-// quietFor returns how long an incomplete request has lasted, or a connection has been without one. The caller holds the
-// mutex.
-func (c *inboundConn) quietFor(now time.Time) time.Duration {
-	if !c.requestStart.IsZero() {
-		return now.Sub(c.requestStart)
-	}
-	return now.Sub(c.stateSince)
-}
-
-// requestCloseOfQuiet requests the close of a connection, and of others that have been without a request for longer than
-// the grace: closing one takes time, and a crowd needs space for more than one. The caller holds the mutex.
-func (l *limitListener) requestCloseOfQuiet(first *inboundConn) {
-	first.requestClose(closedForSpace)
-	now, requested := time.Now(), 1
-	for c := range l.open {
-		if requested >= evictionBatch {
-			return
-		}
-		if c.requestStart.IsZero() && !c.closeRequested && c.mayBeEvicted(now) && c.evictionRank(now) == 0 {
-			c.requestClose(closedForSpace)
-			requested++
-		}
-	}
-}
-
 // setConnState follows the server's view of a connection.
 func (l *limitListener) setConnState(conn net.Conn, state http.ConnState) {
 	if c, ok := conn.(*inboundConn); ok && (state == http.StateActive || state == http.StateIdle) {
