Read a request that has arrived before its connection closes for space

Traced: a connection that is to close for another one gets 1 ms to show a request; a Read whose deadline is over by the time its goroutine runs returns without looking, so a request that had arrived was shut unread. TestArrivedRequestIsReadThoughItsReaderIsLate failed before (closed is true, want false).

--- a/internal/relay/inbound_conn.go
+++ b/internal/relay/inbound_conn.go
@@ -107,6 +107,10 @@
 			return 0, discardRead
 		}
 	}
+	if timedOut && c.closeRequested && readInputState(c.Conn).unread > 0 { // the wait ended before this goroutine ran
+		c.keepOpen()
+		return 0, discardRead
+	}
 	if timedOut && (c.closeRequested || c.hasUnansweredRequest()) { // the client may have sent the whole request by now
 		if !c.closeRequested {
 			c.noteCloseReason(closedAtTimeout)
--- a/internal/relay/readahead_test.go
+++ b/internal/relay/readahead_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 )
 
 // idleCloses are the ways in which a server closes connections between requests.
@@ -243,3 +244,38 @@
 		})
 	}
 }
+
+// Guards against closing a connection for space over a request that has arrived, because the goroutine that reads it did
+// not run before the time for its first Read was over.
+func TestArrivedRequestIsReadThoughItsReaderIsLate(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer inner.Close()
+	limited := newLimitListener(inner, 1)
+	client := dialOrFail(t, inner.Addr().String())
+	accepted, err := limited.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	conn := accepted.(*inboundConn)
+	defer conn.Conn.Close()
+	buf := make([]byte, 4096)
+	conn.beforeRead(len(buf))
+	limited.mu.Lock()
+	conn.requestClose(closedForSpace)
+	limited.mu.Unlock()
+	io.WriteString(client, apiRequestText("late"))
+	time.Sleep(5 * firstReadTimeout)
+	n, readErr := conn.Conn.Read(buf) // as the reader does once it runs
+	if netErr, ok := readErr.(net.Error); !ok || !netErr.Timeout() {
+		t.Fatalf("read %d bytes with %v, want a time-out", n, readErr)
+	}
+	_, action := conn.afterRead(buf, n, readErr)
+	want(t, "action", action, discardRead)
+	want(t, "closed", conn.locallyClosed, false)
+	n, err = conn.Read(buf)
+	want(t, "bytes of the request", n, len(apiRequestText("late")))
+	want(t, "error", err, nil)
+}
