Forget ended ids with time; close a connection kept for input if none comes

A connection whose close was cancelled for unread input is closed the next time if nothing was read since, whatever the system says. Input read ahead is looked at under the lock, as a closing server may read beside linger.

--- a/internal/relay/inbound_conn.go
+++ b/internal/relay/inbound_conn.go
@@ -38,6 +38,7 @@
 	idle             bool      // a Read waits for the first byte of a request
 	closeRequested   bool      // to be closed as soon as it is idle
 	closeReason      closeReason
+	keptForInput     bool      // a requested close was cancelled for input that has not been read yet
 	interrupted      bool      // its Read has been interrupted for the requested close
 	readDeadline     time.Time // as set by the server
 
@@ -97,6 +98,7 @@
 		return 0, discardRead
 	}
 	if n > 0 {
+		c.keptForInput = false
 		arrivedNow := len(c.ahead) == 0
 		headBytes, fields := c.scanner.headSize()
 		n = c.cutAtEnd(p[:n])
@@ -107,8 +109,9 @@
 			return 0, discardRead
 		}
 	}
-	if timedOut && c.closeRequested && readInputState(c.Conn).unread > 0 { // the wait ended before this goroutine ran
+	if timedOut && c.closeRequested && !c.keptForInput && readInputState(c.Conn).unread > 0 { // the wait ended before this goroutine ran
 		c.keepOpen()
+		c.keptForInput = true
 		return 0, discardRead
 	}
 	if timedOut && (c.closeRequested || c.hasUnansweredRequest()) { // the client may have sent the whole request by now
--- a/internal/relay/inbound_memory.go
+++ b/internal/relay/inbound_memory.go
@@ -81,7 +81,7 @@
 	}
 	l.memoryWaiters++
 	defer func() { l.memoryWaiters-- }()
-	failed := func() bool { return c.evicted || c.locallyClosed }
+	failed := func() bool { return c.evicted || c.locallyClosed || c.closed }
 	for start := time.Now(); !l.hasMemory(bytes) && time.Since(start) < maxMemoryWait; {
 		l.evictFor(bytes, c)
 		l.waitFor(func() bool { return failed() || l.hasMemory(bytes) })
--- a/internal/relay/read_ahead.go
+++ b/internal/relay/read_ahead.go
@@ -6,8 +6,11 @@
 
 // readInput reads what was read ahead, or else from the connection.
 func (c *inboundConn) readInput(p []byte) (int, error) {
-	if len(c.ahead) > 0 {
-		return copy(p, c.ahead), nil
+	c.listener.mu.Lock()
+	n := copy(p, c.ahead)
+	c.listener.mu.Unlock()
+	if n > 0 {
+		return n, nil
 	}
 	return c.Conn.Read(p)
 }
--- a/internal/relay/recent_ids.go
+++ b/internal/relay/recent_ids.go
@@ -4,25 +4,34 @@
 	"crypto/rand"
 	"crypto/sha256"
 	"encoding/binary"
+	"time"
 )
 
 const (
 	defaultRecentIDs = 4096
-	// recentIDsPerMB is how many IDs of ended messages are remembered for each MB of the memory limit. A client may send
-	// a message again until its time is up.
+	// recentIDsPerMB is how many IDs of ended messages are remembered for each MB of the memory limit, at most.
 	recentIDsPerMB = 1024
+	// recentIDRetention is how long an ID is remembered at least, unless there are too many: a client may send a message
+	// again until its time is up.
+	recentIDRetention = 2 * time.Minute
 )
 
 // idDigest identifies an ID without its text, which may be long.
 type idDigest uint64
 
-// recentIDs remembers the last IDs added, by their digests. The zero value remembers defaultRecentIDs.
+// rememberedID is an ID and when it was added.
+type rememberedID struct {
+	digest  idDigest
+	addedAt time.Time
+}
+
+// recentIDs remembers the last IDs added, by their digests: defaultRecentIDs in any case, and more for a time. The zero
+// value remembers defaultRecentIDs.
 type recentIDs struct {
 	capacity int
 	salt     [16]byte // keeps clients from choosing IDs of the same digest
 	digests  map[idDigest]struct{}
-	ring     []idDigest // in the order of their addition, once it is full from next on
-	next     int
+	queue    []rememberedID // in the order of their addition
 }
 
 // newRecentIDs returns a memory for the IDs of messages that ended, with the memory limit in MB.
@@ -44,10 +53,10 @@
 	return ok
 }
 
-func (r *recentIDs) add(id string) { r.addDigest(r.digest(id)) }
+func (r *recentIDs) add(id string) { r.addDigest(r.digest(id), time.Now()) }
 
-// addDigest adds an ID by its digest, in place of the oldest one if there are too many.
-func (r *recentIDs) addDigest(digest idDigest) {
+// addDigest adds an ID by its digest, and forgets the oldest ones that need not be remembered any more.
+func (r *recentIDs) addDigest(digest idDigest, now time.Time) {
 	if r.digests == nil {
 		r.digests = map[idDigest]struct{}{}
 	}
@@ -55,13 +64,16 @@
 		return
 	}
 	r.digests[digest] = struct{}{}
-	if len(r.ring) < max(r.capacity, defaultRecentIDs) {
-		r.ring = append(r.ring, digest)
-		return
+	r.queue = append(r.queue, rememberedID{digest, now})
+	forgotten := 0
+	for left := len(r.queue); left > defaultRecentIDs; left-- {
+		if left <= r.capacity && now.Sub(r.queue[forgotten].addedAt) < recentIDRetention {
+			break
+		}
+		delete(r.digests, r.queue[forgotten].digest)
+		forgotten++
 	}
-	delete(r.digests, r.ring[r.next])
-	r.ring[r.next] = digest
-	r.next = (r.next + 1) % len(r.ring)
+	r.queue = r.queue[forgotten:]
 }
 
 // recentIDsSnapshot is the state of recentIDs as the next process receives it.
@@ -72,10 +84,9 @@
 
 // snapshot returns the state for the next process.
 func (r *recentIDs) snapshot() recentIDsSnapshot {
-	snapshot := recentIDsSnapshot{Salt: r.salt[:], Digests: make([]byte, 0, 8*len(r.ring))}
-	for i := range r.ring {
-		digest := r.ring[(r.next+i)%len(r.ring)]
-		snapshot.Digests = binary.LittleEndian.AppendUint64(snapshot.Digests, uint64(digest))
+	snapshot := recentIDsSnapshot{Salt: r.salt[:], Digests: make([]byte, 0, 8*len(r.queue))}
+	for _, remembered := range r.queue {
+		snapshot.Digests = binary.LittleEndian.AppendUint64(snapshot.Digests, uint64(remembered.digest))
 	}
 	return snapshot
 }
@@ -86,7 +97,8 @@
 		return
 	}
 	copy(r.salt[:], snapshot.Salt)
+	now := time.Now()
 	for digests := snapshot.Digests; len(digests) >= 8; digests = digests[8:] {
-		r.addDigest(idDigest(binary.LittleEndian.Uint64(digests)))
+		r.addDigest(idDigest(binary.LittleEndian.Uint64(digests)), now)
 	}
 }
--- a/internal/relay/recent_ids_test.go
+++ b/internal/relay/recent_ids_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 )
 
 // Guards against forgetting an ended message sooner than the capacity requires, and against one that is never forgotten.
@@ -34,3 +35,23 @@
 	zero.add("a")
 	want(t, "a is remembered", zero.has("a"), true)
 }
+
+// Guards against a memory that grows all day though no client comes again, and against forgetting what one may still send
+// again.
+func TestRecentIDsForgetWithTime(t *testing.T) {
+	ids := newRecentIDs(192)
+	now := time.Unix(1000, 0)
+	const perSecond = 100
+	for i := range 600 * perSecond {
+		now = now.Add(time.Second / perSecond)
+		ids.addDigest(idDigest(i), now)
+		if oldest := i - int(recentIDRetention.Seconds())*perSecond + 1; oldest > 0 {
+			if _, ok := ids.digests[idDigest(oldest)]; !ok {
+				t.Fatalf("number %d is forgotten after %v", oldest, recentIDRetention)
+			}
+		}
+	}
+	if most := int(recentIDRetention.Seconds())*perSecond + 1; len(ids.digests) > most || len(ids.queue) > most {
+		t.Errorf("%d IDs are remembered, want %d at most", len(ids.digests), most)
+	}
+}
