--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -4,4 +4,4 @@
 REVIEW_ROOT=$PWD
 export REVIEW_ROOT
 [ -x bin/larchrouter ] && [ -x bin/review2 ] || exit 2
-exec timeout --kill-after=5 110 bin/review2 options review/6/record.txt
+exec timeout --kill-after=5 110 bin/review2 backlog review/6/record.txt
