--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -3,5 +3,10 @@
 cd "$(dirname "$0")/../.." || exit 2
 REVIEW_ROOT=$PWD
 export REVIEW_ROOT
-[ -x bin/larchrouter ] && [ -x bin/review2 ] || exit 2
-exec timeout --kill-after=5 110 bin/review2 backlog review/6/record.txt
+for program in larchrouter review2; do
+	[ -x "bin/$program" ] || exit 2
+done
+timeout --kill-after=5 110 bin/review2 backlog review/6/record.txt
+code=$?
+[ "$code" -le 2 ] || code=2
+exit "$code"
--- a/review/standin-2/rig.go
+++ b/review/standin-2/rig.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"slices"
 	"strconv"
@@ -94,6 +95,14 @@
 	code := func() (code int) {
 		r := newRig(recordPath)
 		defer r.close()
+		stop := make(chan os.Signal, 1)
+		signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+		go func() {
+			<-stop
+			r.log("the run was stopped from outside")
+			r.close()
+			os.Exit(2)
+		}()
 		defer func() {
 			switch p := recover().(type) {
 			case nil:
@@ -308,9 +317,11 @@
 	ended  bool
 }
 
-// freeAddr returns a loopback address that is free now.
+// freeAddr returns a loopback address that is free now. Its IP address is of this run alone, so that no other process takes
+// the port before it is used.
 func freeAddr() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	pid := os.Getpid()
+	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 64+pid>>14%64, pid>>7&127, 1+pid&127))
 	check(err)
 	defer l.Close()
 	return l.Addr().String()
@@ -349,7 +360,7 @@
 	r.writeConfig(p.config, s)
 	p.cmd = exec.Command("/bin/sh", "-c", "exec bin/larchrouter")
 	p.cmd.Dir = os.Getenv("REVIEW_ROOT")
-	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+
 	p.cmd.Env = append(os.Environ(), "BALANCER_NAME="+s.name, "BALANCER_LISTEN="+s.addr, "BALANCER_DISCOVERY="+s.platform, "BALANCER_STATE="+s.state,
 		"BALANCER_CONFIG="+p.config, "BALANCER_ADMIN_ADDR="+s.admin, "TMPDIR="+tmp)
 	output, err := os.Create(filepath.Join(r.dir, fmt.Sprintf("log-%d.txt", n)))
