--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -6,7 +6,7 @@
 for program in larchrouter larchkeeper review2; do
 	[ -x "bin/$program" ] || exit 2
 done
-timeout --kill-after=5 110 bin/review2 copies review/7/record.txt
+timeout --kill-after=5 110 bin/review2 stale review/7/record.txt
 code=$?
 [ "$code" -le 2 ] || code=2
 exit "$code"
--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -3,10 +3,10 @@
 cd "$(dirname "$0")/../.." || exit 2
 REVIEW_ROOT=$PWD
 export REVIEW_ROOT
-for program in larchrouter larchkeeper review2; do
+for program in larchrouter review2; do
 	[ -x "bin/$program" ] || exit 2
 done
-timeout --kill-after=5 110 bin/review2 heir review/9/record.txt
+timeout --kill-after=5 110 bin/review2 options review/9/record.txt
 code=$?
 [ "$code" -le 2 ] || code=2
 exit "$code"
--- a/review/standin-2/copies.go
+++ b/review/standin-2/copies.go
@@ -13,11 +13,13 @@
 
 func init() { cases["copies"] = playCopies }
 
-// startKeeper starts one keeper and returns its address.
-func (r *rig) startKeeper() string {
+// startKeeper starts one keeper with leases of 3 s, and returns its address.
+func (r *rig) startKeeper() string { return r.startKeeperWith("3s") }
+
+func (r *rig) startKeeperWith(lease string) string {
 	addr, dir := freeAddr(), filepath.Join(r.dir, "keeper")
 	config := filepath.Join(r.dir, "keeper.toml")
-	check(os.WriteFile(config, fmt.Appendf(nil, "name = \"keeper/0\"\nhttp = %q\nraft = %q\ndir = %q\nlease = \"3s\"\n", addr, freeAddr(), dir), 0o644))
+	check(os.WriteFile(config, fmt.Appendf(nil, "name = \"keeper/0\"\nhttp = %q\nraft = %q\ndir = %q\nlease = %q\n", addr, freeAddr(), dir, lease), 0o644))
 	cmd := exec.Command("bin/larchkeeper", "--config", config, "--dir", dir)
 	cmd.Dir = os.Getenv("REVIEW_ROOT")
 
--- a/review/standin-2/heir.go
+++ b/review/standin-2/heir.go
@@ -2,62 +2,13 @@
 
 import (
 	"fmt"
-	"net"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
 func init() { cases["heir"] = playHeir }
 
-// cutProxy passes connections on to an address until it is cut. After that it passes nothing on, and says nothing.
-type cutProxy struct {
-	addr string
-	cut  atomic.Bool
-}
-
-func (r *rig) newCutProxy(to string) *cutProxy {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	check(err)
-	p := &cutProxy{addr: listener.Addr().String()}
-	r.closers = append(r.closers, func() { listener.Close() })
-	pass := func(from, to net.Conn) {
-		defer to.Close()
-		buf := make([]byte, 32<<10)
-		for {
-			n, err := from.Read(buf)
-			for p.cut.Load() {
-				time.Sleep(10 * time.Millisecond)
-			}
-			if _, writeErr := to.Write(buf[:n]); err != nil || writeErr != nil {
-				return
-			}
-		}
-	}
-	go func() {
-		for {
-			near, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				for p.cut.Load() {
-					time.Sleep(10 * time.Millisecond)
-				}
-				far, err := net.Dial("tcp", to)
-				if err != nil {
-					near.Close()
-					return
-				}
-				go pass(near, far)
-				pass(far, near)
-			}()
-		}
-	}()
-	return p
-}
-
 // playHeir cuts one of three relays off from the keeper for 6 s. It keeps its connections to the partner, where a call with
 // two messages hangs.
 func playHeir(r *rig) {
@@ -97,7 +48,7 @@
 	}
 	p := r.newPlatform(endpoint{ID: "s-1", Addr: h.addr, Zone: "sibiu-dc1", Kind: "big-buyers", Cell: 1, State: "active", Weight: 60})
 	keeper := r.startKeeper()
-	link := r.newCutProxy(keeper)
+	link := r.newCutProxy(keeper, "")
 	sets := settings(func(s object) { s["fleet-size"], s["bounds"].(object)["max-attempts"] = 3, 3 })
 	var specs []relaySpec
 	var relays []*relay
--- a/review/standin-2/rig.go
+++ b/review/standin-2/rig.go
@@ -108,6 +108,11 @@
 			case nil:
 			case unplayable:
 				r.log("could not run: %s", p.reason)
+				logs, _ := filepath.Glob(filepath.Join(r.dir, "*.txt"))
+				for _, path := range logs {
+					text, _ := os.ReadFile(path)
+					r.log("%s ends with %q", filepath.Base(path), text[max(0, len(text)-600):])
+				}
 				fmt.Println("could not run:", p.reason)
 				code = 2
 			default:
@@ -317,14 +322,23 @@
 	ended  bool
 }
 
+// givenAddrs are the addresses that freeAddr has returned.
+var givenAddrs = map[string]bool{}
+
 // freeAddr returns a loopback address that is free now. Its IP address is of this run alone, so that no other process takes
 // the port before it is used.
 func freeAddr() string {
 	pid := os.Getpid()
-	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 64+pid>>14%64, pid>>7&127, 1+pid&127))
-	check(err)
-	defer l.Close()
-	return l.Addr().String()
+	for {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 64+pid>>14%64, pid>>7&127, 1+pid&127))
+		check(err)
+		addr := l.Addr().String()
+		l.Close()
+		if !givenAddrs[addr] {
+			givenAddrs[addr] = true
+			return addr
+		}
+	}
 }
 
 // relaySpec is the configuration of a relay.
@@ -489,6 +503,7 @@
 		} else {
 			c.IDs = []string{c.ID}
 		}
+		req.Body = io.NopCloser(bytes.NewReader(body))
 		conn, _ := req.Context().Value(connKey{}).(*net.TCPConn)
 		c.out = &outCall{conn: conn}
 		r.logCall(h, c)
