--- a/review/standin-2/backlog.go
+++ b/review/standin-2/backlog.go
@@ -20,7 +20,7 @@
 	var mu sync.Mutex
 	delivered := map[string]time.Duration{}
 	serve := func(c call, w http.ResponseWriter, _ *http.Request) {
-		time.Sleep(60 * time.Millisecond)
+		time.Sleep(200 * time.Millisecond)
 		w.WriteHeader(http.StatusOK)
 		mu.Lock()
 		delivered[c.ID] = r.now()
@@ -40,14 +40,8 @@
 	var all []*handed
 	handIn := func(dest, body int) {
 		m := &handed{submission: submission{ID: r.id(), Class: "order-msg", Key: "k" + r.id(), Dest: dest, Deadline: int(giveUp.Milliseconds()), Body: strings.Repeat("x", body)}}
-		c, err := dialClient(relay.addr)
-		if err != nil {
-			r.log("client could not connect: %v", err)
-			return
-		}
-		m.status = c.submit(r, m.submission)
+		m.status = r.handIn(relay.addr, m.submission)
 		m.due = r.now() + giveUp
-		c.conn.Close()
 		mu.Lock()
 		all = append(all, m)
 		mu.Unlock()
@@ -64,7 +58,7 @@
 	for range messages {
 		clients.Go(func() { handIn(1, bodyBytes) })
 		if !r.trouble {
-			time.Sleep(200 * time.Millisecond)
+			time.Sleep(400 * time.Millisecond)
 		}
 	}
 	clients.Wait()
--- a/review/standin-2/copies.go
+++ b/review/standin-2/copies.go
@@ -87,10 +87,8 @@
 	for range 10 {
 		m := &handed{submission: submission{ID: r.id(), Class: "order-msg", Key: "k" + r.id(), Dest: 1, Deadline: int(giveUp.Milliseconds()), Body: "an order"}}
 		all = append(all, m)
-		c, err := dialClient(specs[0].addr)
-		check(err)
 		clients.Go(func() {
-			m.status = c.submit(r, m.submission)
+			m.status = r.handIn(specs[0].addr, m.submission)
 			m.due = r.now() + giveUp
 		})
 	}
--- a/review/standin-2/cut.go
+++ b/review/standin-2/cut.go
@@ -7,7 +7,7 @@
 )
 
 // cutProxy passes connections on to an address until it is cut. From then on it passes nothing on and says nothing, on
-// connections from one IP address or, if none is given, on all.
+// connections from one IP address or, if none is given, on all. What began during a cut is reset after it.
 type cutProxy struct {
 	addr string
 	from string
@@ -39,7 +39,12 @@
 			time.Sleep(10 * time.Millisecond)
 		}
 	}
-	awaitLink()
+	if concerned && p.cut.Load() {
+		awaitLink()
+		near.(*net.TCPConn).SetLinger(0)
+		near.Close()
+		return
+	}
 	far, err := net.Dial("tcp", to)
 	if err != nil {
 		near.Close()
--- a/review/standin-2/options.go
+++ b/review/standin-2/options.go
@@ -12,18 +12,20 @@
 
 // playOptions has a stranger send a request whose body holds the text of a message. No client ever sends that message.
 func playOptions(r *rig) {
+	honest := submission{ID: r.id(), Class: "order-msg", Key: r.id() + "k", Dest: 1, Deadline: 24000, Body: "an order"}
 	h := r.newHost("e1", func(c call, w http.ResponseWriter, req *http.Request) {
-		time.Sleep(50 * time.Millisecond)
+		if c.ID != honest.ID { // no client handed it in
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		time.Sleep(200 * time.Millisecond)
 		w.WriteHeader(http.StatusOK)
 	})
 	p := r.newPlatform(endpoint{ID: "s-1", Addr: h.addr, Zone: "sibiu-dc1", Kind: "small-partners", Cell: 1, State: "active", Weight: 20})
 	relay := r.startRelay(relaySpec{name: "n0", addr: freeAddr(), state: r.dir + "/state", platform: p.addr, known: p.known(), settings: settings(nil)})
 	relay.awaitUp()
 
-	honest := submission{ID: r.id(), Class: "order-msg", Key: r.id() + "k", Dest: 1, Deadline: 24000, Body: "an order"}
-	c, err := dialClient(relay.addr)
-	check(err)
-	if c.submit(r, honest) != http.StatusAccepted {
+	if r.handIn(relay.addr, honest) != http.StatusAccepted {
 		panic(unplayable{"a message of a client was not taken on"})
 	}
 
--- a/review/standin-2/rig.go
+++ b/review/standin-2/rig.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -37,6 +38,7 @@
 	trouble  bool
 	procs    []*relay
 	hosts    []*host
+	idle     map[string][]*client // connections of clients that wait for their next request, by address
 	broken   []string
 	closers  []func()
 	requests int
@@ -350,7 +352,7 @@
 }
 
 func (r *rig) writeConfig(path string, s relaySpec) {
-	conf := object{"name": s.name, "listen": s.addr, "discovery": s.platform, "seed": "8c1f30d27a5be964",
+	conf := object{"name": s.name, "listen": s.addr, "discovery": s.platform, "seed": fmt.Sprintf("%016x", rand.Uint64()),
 		"limits": object{"cores": 1.0, "memory_mb": 192, "sockets": 512, "disk_mb": 3}, "known": s.known, "settings": s.settings}
 	if s.admin != "" {
 		conf["admin_addr"] = s.admin
@@ -609,8 +611,43 @@
 
 // client is a client's connection.
 type client struct {
-	conn   net.Conn
-	reader *bufio.Reader
+	conn    net.Conn
+	reader  *bufio.Reader
+	closing bool // the relay closes the connection after its answer
+}
+
+// handIn hands a message in as clients do: on a connection that is idle, or on a new one if all are busy. The status is 0
+// without an answer.
+func (r *rig) handIn(addr string, s submission) (status int) {
+	r.mu.Lock()
+	var c *client
+	if idle := r.idle[addr]; len(idle) > 0 {
+		c, r.idle[addr] = idle[len(idle)-1], idle[:len(idle)-1]
+	}
+	r.mu.Unlock()
+	if c == nil {
+		var err error
+		if c, err = dialClient(addr); err != nil {
+			r.log("client could not connect: %v", err)
+			return 0
+		}
+	}
+	if status = c.submit(r, s); status != 0 && !c.closing {
+		r.mu.Lock()
+		if r.idle == nil {
+			r.idle = map[string][]*client{}
+		}
+		r.idle[addr] = append(r.idle[addr], c)
+		r.mu.Unlock()
+		return status
+	}
+	c.conn.Close()
+	return status
+}
+
+// tellLimit adds a report of a partner that has a limit to an answer.
+func tellLimit(w http.ResponseWriter, left, rate float64) {
+	w.Header().Set("X-Load", fmt.Sprintf("{\"x0\":%g,\"x1\":%g}", left, rate))
 }
 
 func dialClient(addr string) (*client, error) {
@@ -618,7 +655,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &client{conn, bufio.NewReader(conn)}, nil
+	return &client{conn: conn, reader: bufio.NewReader(conn)}, nil
 }
 
 // submit hands a message in and waits 400 ms for the answer, as clients do. The status is 0 without an answer.
@@ -636,6 +673,7 @@
 		return 0
 	}
 	io.Copy(io.Discard, resp.Body)
+	c.closing = resp.Close
 	r.log("client got %d to %s", resp.StatusCode, s.ID)
 	return resp.StatusCode
 }
--- a/review/standin-2/stale.go
+++ b/review/standin-2/stale.go
@@ -10,16 +10,23 @@
 
 func init() { cases["stale"] = playStale }
 
-// playStale cuts one of three relays off from the keeper and the other relays for 6 s. It has taken on a payment, which its
-// partner has refused with a wait. An heir delivers the payment meanwhile.
+// playStale cuts zone a, with one of three relays, off from zone b, with the other relays, the keeper and the partner, for
+// 6 s. The relay has taken on a payment, which the partner has refused with a wait. An heir delivers the payment meanwhile.
 func playStale(r *rig) {
 	const order = "payment 4711"
 	var mu sync.Mutex
 	atLimit, runs, run := false, 0, map[string]time.Duration{}
 	h := r.newHostWithBody("e1", func(c call, body string, w http.ResponseWriter) {
+		mu.Lock()
+		refuse := atLimit
+		mu.Unlock()
+		if !refuse {
+			time.Sleep(200 * time.Millisecond)
+		}
 		mu.Lock()
 		defer mu.Unlock()
-		if atLimit {
+		if refuse {
+			tellLimit(w, 0, 20)
 			r.log("endpoint e1 is at its limit: 429 with Retry-After 2")
 			w.Header().Set("Retry-After", "2.000")
 			w.WriteHeader(http.StatusTooManyRequests)
@@ -29,29 +36,38 @@
 		if body == order {
 			runs++
 		}
+		tellLimit(w, 0.9, 20)
 		r.log("endpoint e1 runs %q (%s) and answers 200", body, c.ID)
 		w.WriteHeader(http.StatusOK)
 	})
-	p := r.newPlatform(endpoint{ID: "s-1", Addr: h.addr, Zone: "sibiu-dc1", Kind: "small-partners", Cell: 1, State: "active", Weight: 20})
 	const source = "127.0.0.2" // of n0's connections
+	toPartner := r.newCutProxy(h.addr, "")
+	listWith := func(addr string) endpoint { // the address may differ from one relay to the next
+		return endpoint{ID: "s-1", Addr: addr, Zone: "b", Kind: "small-partners", Cell: 1, State: "active", Weight: 20}
+	}
+	p, others := r.newPlatform(listWith(toPartner.addr)), r.newPlatform(listWith(h.addr))
 	keeper := r.startKeeperWith("2s")
-	links := []*cutProxy{r.newCutProxy(keeper, "")}
+	links := []*cutProxy{r.newCutProxy(keeper, ""), toPartner}
 	keeperOfN0 := links[0].addr
-	sets := settings(func(s object) {
-		s["fleet-size"] = 3
-		s["classes"] = []object{{"aim": 1.0, "effect": "at_most_once", "give-up": 6.0, "late-share": 0.3, "name": "payment", "stream": false, "worth": 1.0}}
-	})
+	sets := func(zone int) object {
+		return settings(func(s object) {
+			s["fleet-size"], s["zone"], s["zones"] = 3, zone, []string{"a", "b"}
+			s["family-info"].(object)["zone-fee"] = []float64{0, 0}
+			s["classes"] = []object{{"aim": 1.0, "effect": "at_most_once", "give-up": 6.0, "late-share": 0.3, "name": "payment", "stream": false, "worth": 1.0}}
+		})
+	}
 	var specs []relaySpec
 	var relays []*relay
 	for i := range 3 {
 		listen := freeAddr()
 		link := r.newCutProxy(listen, source) // n0's way to this relay
-		fleet := object{"keepers": []string{keeper}, "listen": listen, "address": link.addr, "copies": 1}
-		spec := relaySpec{name: fmt.Sprintf("n%d", i), addr: freeAddr(), admin: freeAddr(), state: fmt.Sprintf("%s/state-%d", r.dir, i), platform: p.addr, known: p.known(), settings: sets,
+		fleet := object{"keepers": []string{keeper}, "listen": listen, "address": link.addr, "copies": 1, "zone": "b"}
+		spec := relaySpec{name: fmt.Sprintf("n%d", i), addr: freeAddr(), admin: freeAddr(), state: fmt.Sprintf("%s/state-%d", r.dir, i), platform: others.addr, known: others.known(), settings: sets(1),
 			extra: object{"fleet": fleet, "limits": object{"cores": 1.0, "memory_mb": 192, "sockets": 512, "disk_mb": 8}}}
 		if i == 0 {
 			link.from = "" // the others' way to n0
-			fleet["keepers"], spec.extra["source"] = []string{keeperOfN0}, source
+			fleet["keepers"], fleet["zone"], spec.extra["source"] = []string{keeperOfN0}, "a", source
+			spec.platform, spec.known, spec.settings = p.addr, p.known(), sets(0)
 		}
 		links = append(links, link)
 		specs, relays = append(specs, spec), append(relays, r.startRelay(spec))
@@ -62,11 +78,8 @@
 	}
 	time.Sleep(time.Second)
 	handIn := func(addr, body string) (id string, status int) {
-		c, err := dialClient(addr)
-		check(err)
-		defer c.conn.Close()
 		id = r.id()
-		return id, c.submit(r, submission{ID: id, Class: "payment", Dest: 1, Deadline: 6000, Body: body})
+		return id, r.handIn(addr, submission{ID: id, Class: "payment", Dest: 1, Deadline: 6000, Body: body})
 	}
 	for range 5 {
 		handIn(specs[0].addr, "an earlier payment")
@@ -90,7 +103,7 @@
 		}
 	}
 	if r.trouble {
-		r.log("relay n0 is cut off from the keeper and from the other relays")
+		r.log("zone a, with relay n0, is cut off from zone b")
 		setLinks(true)
 	}
 	time.AfterFunc(6*time.Second, func() {
