Check the framing of OPTIONS * as of any other request

Cause: net/http answers OPTIONS * past the server's handler, and the check was in the handler. The same fields for another path were answered 411 by the code before, so the check itself was sound; for * at both addresses of a relay, at a replica and at a keeper the answer was 200.

Change: framing.Guard takes the server, wraps its handler and disables that answer, so that no server can have one without the other. requireClearFraming is closeAfterUnknown now, which is what is left of it; four tests pass the check to newHTTPServer, as the relay does.

--- a/internal/framing/framing.go
+++ b/internal/framing/framing.go
@@ -52,9 +52,17 @@
 	return nil
 }
 
-// Require serves only requests that check accepts, which is one of the functions above. It closes the connection with the
-// answer to any other, because nobody knows where the next request begins; onReject, which may be nil, is called before.
-func Require(check func(*http.Request) error, next http.Handler, onReject func(*http.Request)) http.Handler {
+// Guard has a server, which must not have started, serve only requests that check accepts, which is one of the functions
+// above. It closes the connection with the answer to any other, because nobody knows where the next request begins;
+// onReject, which may be nil, is called before. Guard covers each request that the server reads: net/http would answer
+// "OPTIONS *" by itself, without the server's handler, and go on with the connection.
+func Guard(server *http.Server, check func(*http.Request) error, onReject func(*http.Request)) {
+	server.DisableGeneralOptionsHandler = true
+	server.Handler = require(check, server.Handler, onReject)
+}
+
+// require returns a handler that passes on the requests that check accepts.
+func require(check func(*http.Request) error, next http.Handler, onReject func(*http.Request)) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 		err := check(req)
 		if err == nil {
--- a/internal/framing/framing_test.go
+++ b/internal/framing/framing_test.go
@@ -13,12 +13,16 @@
 // Guards against a call in the body of another one that a server of the fleet (a keeper, a replica) would act on.
 func TestRequireClosesAfterUnclearEnd(t *testing.T) {
 	served := make(chan string, 10)
-	server := httptest.NewServer(Require(Check, http.HandlerFunc(func(_ http.ResponseWriter, req *http.Request) { served <- req.URL.Path }), nil))
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(_ http.ResponseWriter, req *http.Request) { served <- req.URL.Path }))
+	Guard(server.Config, Check, nil)
+	server.Start()
 	defer server.Close()
 	const inner = "POST /inner HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n"
 	for _, head := range []string{
 		"POST /outer HTTP/1.0\r\nConnection: keep-alive\r\nTransfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\n35\r\n",
 		"POST /outer HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		"OPTIONS * HTTP/1.0\r\nConnection: keep-alive\r\nTransfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\n35\r\n",
+		"OPTIONS * HTTP/1.1\r\nHost: a\r\nContent-Length: 60\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
 		"POST /outer HTTP/1.5\r\nHost: a\r\nContent-Length: 0\r\n\r\n",
 	} {
 		conn, err := net.Dial("tcp", server.Listener.Addr().String())
--- /dev/null
+++ b/internal/framing/servers_test.go
@@ -0,0 +1,76 @@
+package framing_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"larchrouter/internal/keeper"
+	"larchrouter/internal/replication"
+)
+
+func localListener(t *testing.T) net.Listener {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return listener
+}
+
+// startReplicaServer starts a replica server and returns its address.
+func startReplicaServer(t *testing.T) string {
+	t.Helper()
+	server, err := replication.OpenReplicaServer(t.TempDir(), 1<<20)
+	if err != nil {
+		t.Fatal(err)
+	}
+	listener := localListener(t)
+	server.Serve(listener)
+	t.Cleanup(server.Close)
+	return listener.Addr().String()
+}
+
+// startKeeper starts a keeper that is alone and returns its address.
+func startKeeper(t *testing.T) string {
+	t.Helper()
+	calls, raft := localListener(t), localListener(t)
+	calls.Close()
+	raft.Close()
+	config := keeper.Default()
+	config.Name, config.HTTP, config.Raft, config.Dir = "keeper/0", calls.Addr().String(), raft.Addr().String(), t.TempDir()
+	config.Peers = []keeper.Peer{{Name: config.Name, HTTP: config.HTTP, Raft: config.Raft}}
+	k, err := keeper.New(config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { k.Close() })
+	return config.HTTP
+}
+
+// Guards against a server of the fleet that answers "OPTIONS *" without a check of its framing, and reads its body as the
+// next call.
+func TestFleetServersRejectOptionsWithUnclearEnd(t *testing.T) {
+	for name, addr := range map[string]string{"replica": startReplicaServer(t), "keeper": startKeeper(t)} {
+		conn, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		conn.SetDeadline(time.Now().Add(3 * time.Second))
+		io.WriteString(conn, "OPTIONS * HTTP/1.0\r\nConnection: keep-alive\r\nTransfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\n35\r\n"+
+			"POST /inner HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n")
+		reader := bufio.NewReader(conn)
+		answer, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		io.Copy(io.Discard, answer.Body)
+		if _, more := reader.ReadByte(); answer.StatusCode != http.StatusHTTPVersionNotSupported || more != io.EOF {
+			t.Errorf("%s: status %d, then %v, want 505 and the end of the connection", name, answer.StatusCode, more)
+		}
+		conn.Close()
+	}
+}
--- a/internal/keeper/http.go
+++ b/internal/keeper/http.go
@@ -12,7 +12,6 @@
 	"strconv"
 	"time"
 
-	"larchrouter/internal/framing"
 	"larchrouter/internal/keeper/api"
 	"larchrouter/internal/keeper/state"
 	"larchrouter/internal/remedy"
@@ -120,7 +119,7 @@
 	})
 	handle("POST "+api.GroupsPath, maxCallBytes, func(_ context.Context, _ *http.Request, body []byte) (any, error) { return k.applyGroupEvent(body) })
 	handle("GET "+api.StatusPath, 0, func(context.Context, *http.Request, []byte) (any, error) { return k.status(), nil })
-	return framing.Require(framing.CheckVersion, mux, nil)
+	return mux
 }
 
 // writeAnswer writes an answer, with the address of the leader if the call has to go there.
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -13,6 +13,7 @@
 
 	"github.com/hashicorp/raft"
 
+	"larchrouter/internal/framing"
 	"larchrouter/internal/keeper/state"
 	"larchrouter/internal/listen"
 )
@@ -100,6 +101,7 @@
 		}
 	}
 	keeper.server = &http.Server{Handler: keeper.handler(), ReadHeaderTimeout: 5 * time.Second, ReadTimeout: 30 * time.Second, IdleTimeout: time.Minute, MaxHeaderBytes: 16 << 10}
+	framing.Guard(keeper.server, framing.CheckVersion, nil)
 	keeper.goroutines.Go(func() { keeper.server.Serve(listen.Retrying(keeper.httpListener)) })
 	keeper.goroutines.Go(keeper.joinCluster)
 	slog.Info("keeper started", "name", config.Name, "http", keeper.httpListener.Addr(), "raft", keeper.network.TCPListener.Addr(), "peers", len(config.allPeers()), "known", hasState)
--- a/internal/relay/accept_test.go
+++ b/internal/relay/accept_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"larchrouter/internal/framing"
 	"net"
 	"net/http"
 	"os"
@@ -38,7 +39,7 @@
 			}
 			limited := newLimitListener(&failingListener{tcpListener, []error{err, err, err}}, 10)
 			served := make(chan error, 1)
-			server := newHTTPServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}), limited)
+			server := newHTTPServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}), framing.CheckLength, limited)
 			go func() { served <- server.Serve(limited) }()
 			defer server.Close()
 			client := http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
--- a/internal/relay/admin.go
+++ b/internal/relay/admin.go
@@ -36,7 +36,7 @@
 	mux.HandleFunc("GET /metrics", r.serveMetrics)
 	mux.HandleFunc("PUT /endpoints/disable/{id}", r.serveSetDisabled(true))
 	mux.HandleFunc("PUT /endpoints/enable/{id}", r.serveSetDisabled(false))
-	r.adminServer = newHTTPServer(framing.Require(framing.Check, ignoreBodies(mux), ignoreRest), limited) // one call per connection, so a missing length does no harm
+	r.adminServer = newHTTPServer(ignoreBodies(mux), framing.Check, limited) // one call per connection, so a missing length does no harm
 	r.adminServer.ReadTimeout, r.adminServer.WriteTimeout = adminTimeout, adminTimeout
 	r.adminServer.SetKeepAlivesEnabled(false)
 	r.adminAddr = tcpListener.Addr()
--- a/internal/relay/conn_close_test.go
+++ b/internal/relay/conn_close_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"larchrouter/internal/framing"
 	"net"
 	"net/http"
 	"strings"
@@ -48,7 +49,7 @@
 		markSubmitter(req)
 		w.WriteHeader(http.StatusAccepted)
 	})
-	server.httpServer = newHTTPServer(requireClearFraming(mux), server.limitListener)
+	server.httpServer = newHTTPServer(closeAfterUnknown(mux), framing.CheckLength, server.limitListener)
 	go server.httpServer.Serve(server.limitListener)
 	t.Cleanup(func() { server.httpServer.Close() })
 	return server
--- a/internal/relay/crowd_test.go
+++ b/internal/relay/crowd_test.go
@@ -61,6 +61,9 @@
 	{"short fields behind a request", func(conn net.Conn, _ int) {
 		conn.Write(append([]byte("GET /up HTTP/1.1\r\nHost: x\r\n\r\nPOST /api HTTP/1.1\r\n"), shortFields(19000)...))
 	}},
+	{"short fields behind OPTIONS * with a Transfer-Encoding", func(conn net.Conn, _ int) {
+		conn.Write(append([]byte("OPTIONS * HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nPOST /api HTTP/1.1\r\n"), shortFields(15000)...))
+	}},
 	{"short fields in a slow head", func(conn net.Conn, _ int) {
 		writeSlowly(conn, append([]byte("POST /api HTTP/1.1\r\n"), shortFields(20000)...), 500, 30*time.Millisecond)
 	}},
--- a/internal/relay/draining_test.go
+++ b/internal/relay/draining_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"larchrouter/internal/framing"
 	"net"
 	"net/http"
 	"sync"
@@ -119,7 +120,7 @@
 	limited := newLimitListener(pipe, 8)
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /api", func(http.ResponseWriter, *http.Request) { time.Sleep(responseTime) })
-	server := newHTTPServer(mux, limited)
+	server := newHTTPServer(mux, framing.CheckLength, limited)
 	server.WriteTimeout = time.Hour
 	go server.Serve(limited)
 	conn := pipe.dial()
--- a/internal/relay/limit_listener_test.go
+++ b/internal/relay/limit_listener_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"io"
+	"larchrouter/internal/framing"
 	"net"
 	"net/http"
 	"strings"
@@ -48,7 +49,7 @@
 		}
 	})
 	limited := newLimitListener(p, limit)
-	server := newHTTPServer(mux, limited)
+	server := newHTTPServer(mux, framing.CheckLength, limited)
 	go server.Serve(limited)
 	return p, func() { server.Close() }
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -19,6 +19,7 @@
 	"larchrouter/internal/clientconn"
 	"larchrouter/internal/discovery"
 	"larchrouter/internal/fleet"
+	"larchrouter/internal/framing"
 	"larchrouter/internal/journal"
 	"larchrouter/internal/listen"
 	"larchrouter/internal/remedy"
@@ -169,7 +170,7 @@
 	relay.metrics.observeConnections(relay.clientListener)
 	relay.clientListener.freeDescriptors = func() { relay.hostTransport.Load().CloseIdleConnections() }
 	relay.clientListener.settingsSnapshot = func() any { return relay.currentSettings() }
-	relay.clientServer = newHTTPServer(relay.handler(), relay.clientListener)
+	relay.clientServer = newHTTPServer(relay.handler(), framing.CheckLength, relay.clientListener)
 	if handover := relay.previousProcess; handover != nil {
 		// Until the previous process has ended, both processes share the limit on sockets.
 		relay.clientListener.setLimit(max(maxClients/4, min(int(sharedMemoryPart*float64(maxClients)), maxClients-handover.ClientConns)))
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -8,10 +8,14 @@
 	"larchrouter/internal/framing"
 )
 
-// newHTTPServer returns a server for the connections of a listener.
-func newHTTPServer(handler http.Handler, listener *limitListener) *http.Server {
-	return &http.Server{Handler: skipClosedConns(handler), ReadTimeout: requestTimeout, WriteTimeout: requestTimeout, IdleTimeout: idleConnTimeout,
-		MaxHeaderBytes: 16 << 10, ConnState: listener.setConnState, ConnContext: withConn}
+// newHTTPServer returns a server for the connections of a listener. It serves only requests whose framing check, a
+// function of package framing, accepts.
+func newHTTPServer(handler http.Handler, check func(*http.Request) error, listener *limitListener) *http.Server {
+	server := &http.Server{Handler: handler, ReadTimeout: requestTimeout, WriteTimeout: requestTimeout, IdleTimeout: idleConnTimeout,
+		MaxHeaderBytes: maxHeadBytes, ConnState: listener.setConnState, ConnContext: withConn}
+	framing.Guard(server, check, ignoreRest)
+	server.Handler = skipClosedConns(server.Handler)
+	return server
 }
 
 // handler returns the handler of the clients' address.
@@ -19,7 +23,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("GET /up", ignoreBodies(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })))
 	mux.HandleFunc("POST /api", r.serveAPI)
-	return r.closeWhileStopping(requireClearFraming(mux))
+	return r.closeWhileStopping(closeAfterUnknown(mux))
 }
 
 // closeWhileStopping closes connections after their responses while the relay stops.
@@ -30,16 +34,15 @@
 	})
 }
 
-// requireClearFraming serves only requests whose end is certain and that the mux knows. Clients send no others, so the
-// connection is closed with the answer to any other, and what follows on it is not read as a request.
-func requireClearFraming(mux *http.ServeMux) http.Handler {
-	known := http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+// closeAfterUnknown closes the connection with the answer to a request that the mux does not know. Clients send no such
+// request, so what follows on the connection is not read as one.
+func closeAfterUnknown(mux *http.ServeMux) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 		if _, pattern := mux.Handler(req); pattern == "" {
 			closeAfterMalformed(w, req)
 		}
 		mux.ServeHTTP(w, req)
 	})
-	return framing.Require(framing.CheckLength, known, ignoreRest)
 }
 
 // ignoreRest has the connection of a request end with the response to it.
--- a/internal/replication/serve.go
+++ b/internal/replication/serve.go
@@ -35,7 +35,8 @@
 	handle(s, mux, PromisePath, s.promise)
 	handle(s, mux, DropPath, s.drop)
 	s.listener = listener
-	s.server = &http.Server{Handler: framing.Require(framing.CheckVersion, mux, nil), ReadTimeout: 5 * time.Second, WriteTimeout: 5 * time.Second, IdleTimeout: time.Minute, MaxHeaderBytes: 8 << 10}
+	s.server = &http.Server{Handler: mux, ReadTimeout: 5 * time.Second, WriteTimeout: 5 * time.Second, IdleTimeout: time.Minute, MaxHeaderBytes: 8 << 10}
+	framing.Guard(s.server, framing.CheckVersion, nil)
 	go s.server.Serve(listen.Limited(listen.Retrying(listener), maxReplicaConns))
 }
 
