--- a/internal/backlog/state/window_test.go
+++ b/internal/backlog/state/window_test.go
@@ -54,7 +54,13 @@
 	if available := window.Available(2, 0); available == 0 {
 		t.Fatal("no message of another destination is allowed")
 	}
+	if bytes := window.AvailableBytes(1, 0); bytes != 0 {
+		t.Fatalf("%d more bytes available beyond the byte limit", bytes)
+	}
 	window.Remove(1, 10<<20, false, 0)
+	if bytes := window.AvailableBytes(1, 0); bytes != 1<<20 {
+		t.Fatalf("%d bytes available when the window is empty", bytes)
+	}
 	if available := window.Available(1, 0); available != 1000 {
 		t.Fatalf("%d messages available when the window is empty", available)
 	}
--- a/internal/journal/records.go
+++ b/internal/journal/records.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"hash/crc32"
+	"math"
 
 	"larchrouter/choice"
 	replicationstate "larchrouter/internal/replication/state"
@@ -37,6 +38,10 @@
 	compactedBytes int64  // maximum size in a compacted journal
 }
 
+// NoMoreTries is the value of Tries of a message that is only to be ended. It is beyond any limit on attempts, so the body
+// of such a message is not needed.
+const NoMoreTries = math.MaxInt32
+
 // Values of Record.Op. They are stored in the file.
 const (
 	OpAccepted   = "taken"   // Entry was accepted, or copied by a compaction
--- a/internal/relay/backlog.go
+++ b/internal/relay/backlog.go
@@ -62,13 +62,17 @@
 		}
 		return errors.Join(os.RemoveAll(dir), journal.RemoveFence(r.config.StateDir))
 	}
-	memoryMB := r.config.MemoryMB
+	r.overflow = newOverflow(dir, int64(r.config.Backlog.DiskMB*1e6), r.config.backlogWindow())
+	return r.openBacklogFolder()
+}
+
+// backlogWindow returns how much of the messages beside those on disk may be pending.
+func (c *Config) backlogWindow() state.Load {
+	memoryMB := c.MemoryMB
 	if memoryMB <= 0 {
 		memoryMB = defaultMemoryMB
 	}
-	windowBytes := min(int(memoryMB*1e6/6), int(r.config.journalBytes()/4))
-	r.overflow = newOverflow(dir, int64(r.config.Backlog.DiskMB*1e6), state.Load{Messages: maxWindowMessages, Bytes: windowBytes})
-	return r.openBacklogFolder()
+	return state.Load{Messages: maxWindowMessages, Bytes: min(int(memoryMB*1e6/6), int(c.journalBytes()/4))}
 }
 
 // openBacklogFolder opens the backlog's directory and removes the messages from it that the journal has as well.
--- a/internal/relay/backlog_load.go
+++ b/internal/relay/backlog_load.go
@@ -1,14 +1,11 @@
 package relay
 
 import (
-	"errors"
 	"log/slog"
 	"slices"
 	"time"
 
 	"larchrouter/internal/backlog"
-	"larchrouter/internal/backlog/entry"
-	"larchrouter/internal/journal"
 	"larchrouter/internal/remedy"
 	"larchrouter/internal/steady"
 )
@@ -54,7 +51,7 @@
 		})
 		budget -= len(stored)
 		o.moreWork = budget <= 0
-		if !r.moveToJournal(stored) {
+		if _, ok := r.moveToJournal(stored, unpackExpired); !ok {
 			return
 		}
 	}
@@ -67,18 +64,19 @@
 		if capacity == 0 || o.store.LenOf(dest) == 0 {
 			continue
 		}
-		stored, err := o.store.Next(dest, min(capacity, budget), maxMovedBytes)
+		stored, err := o.store.Next(dest, min(capacity, budget), o.capacityBytes(dest, now))
 		if err != nil {
 			r.pauseLoading("cannot read the backlog", err, defaultRetryAfter)
 			return
 		}
 		budget -= max(1, len(stored))
-		if !r.moveToJournal(stored) {
-			return
-		}
-		if len(stored) < capacity { // the rest is loaded at the destination's next check
+		moved, ok := r.moveToJournal(stored, unpackStored)
+		if moved < capacity { // the rest is loaded at the destination's next check
 			o.queueCheck(dest)
 		}
+		if !ok {
+			return
+		}
 	}
 	o.moreWork = o.moreWork || len(o.checkQueue) > 0
 	r.logBacklogDamage()
@@ -110,73 +108,3 @@
 	}
 	o.timer.Reset(max(delay, o.readRetryAt-r.now(), minLoadDelay))
 }
-
-// moveToJournal records messages from disk as accepted in the journal, then removes them from disk. It reports
-// whether loading may go on.
-func (r *Relay) moveToJournal(stored []backlog.StoredMessage) bool {
-	o := r.overflow
-	var records []journal.Record
-	var moving []*movingMessage
-	size := 0
-	for i, message := range stored {
-		if size += len(message.Data); i > 0 && size > maxMovedBytes {
-			o.moreWork = true
-			break
-		}
-		unpacked, err := entry.Unpack(message)
-		if err != nil { // without terms it ends as undeliverable
-			slog.Error("cannot decode a message on disk", "err", err, "remedy", remedy.Of(err))
-			unpacked = &journal.Entry{ID: message.ID, Dest: message.Dest, Due: message.Due}
-		}
-		journaled := r.journal.Entry(message.ID) != nil // if so, the journal's record of it applies
-		if !journaled {
-			records = append(records, journal.Record{Op: journal.OpAccepted, Entry: unpacked})
-		}
-		moving = append(moving, &movingMessage{entry: unpacked, place: message.Sequence, submitted: journaled})
-	}
-	o.moving = append(o.moving, moving...)
-	if err := r.journal.Append(records...); err != nil {
-		o.moving = slices.DeleteFunc(o.moving, func(m *movingMessage) bool { return slices.Contains(moving, m) })
-		if wait := defaultRetryAfter; errors.Is(err, journal.ErrFull) {
-			o.readRetryAt, o.moreWork = r.now()+checkAllInterval/10, false
-		} else {
-			r.pauseLoading("cannot move messages from the backlog to the journal", err, wait)
-		}
-		return false
-	}
-	r.submitMoving()
-	return true
-}
-
-// submitMoving removes messages from disk that are in the journal, and submits them to the Chooser. A message
-// submitted before its removal could end in the journal and then be loaded from disk again, so it waits for the
-// removal, but not beyond its deadline: an expired message ends without an attempt in either case.
-func (r *Relay) submitMoving() {
-	o := r.overflow
-	places, failed, now := map[int][]uint64{}, map[int]bool{}, r.now()
-	for _, m := range o.moving {
-		if failed[m.entry.Dest] = now < o.removeRetryAt; m.place > 0 && now >= o.removeRetryAt {
-			places[m.entry.Dest] = append(places[m.entry.Dest], m.place)
-		}
-	}
-	for dest, destPlaces := range places {
-		if err := o.store.Remove(dest, destPlaces...); err != nil {
-			slog.Error("cannot remove messages from the backlog", "messages", len(destPlaces), "err", err, "remedy", remedy.Of(err))
-			failed[dest], o.removeRetryAt = true, now+checkAllInterval
-		}
-	}
-	expiryLimit := steady.Now().Add(r.latestEndLead()).UnixMilli()
-	remaining := o.moving[:0]
-	for _, m := range o.moving {
-		removed := m.place == 0 || !failed[m.entry.Dest]
-		if !m.submitted && (removed || m.entry.Due <= expiryLimit) {
-			r.resumeNow(m.entry, false)
-			m.submitted = true
-		}
-		if !removed {
-			remaining = append(remaining, m)
-		}
-	}
-	clear(o.moving[len(remaining):])
-	o.moving = remaining
-}
--- a/internal/relay/overflow.go
+++ b/internal/relay/overflow.go
@@ -62,6 +62,7 @@
 	moreWork      bool // there is more to do than one turn did
 	fenced        bool // older versions refuse to start on the state directory
 	refused       int  // messages refused because the store was full or failed
+	noSpaceErrors errorThrottle
 }
 
 // movingMessage is a message on its way from disk to the Chooser.
@@ -132,6 +133,11 @@
 	o.queueCheck(m.Dest)
 }
 
+// capacityBytes returns how many bytes one turn may load of a destination that has capacity.
+func (o *overflow) capacityBytes(dest int, now time.Duration) int {
+	return min(maxMovedBytes, o.window.AvailableBytes(dest, now))
+}
+
 // capacity returns how many messages of a destination may be loaded. While the journal is crowded, destinations that
 // were not recently served load none.
 func (o *overflow) capacity(dest int, now time.Duration, crowded bool) int {
--- a/internal/relay/records.go
+++ b/internal/relay/records.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"log/slog"
-	"math"
 	"slices"
 	"time"
 
@@ -114,7 +113,7 @@
 		restored.MayHaveRun, restored.FirstRunAgo, restored.FirstRunZone = true, milliseconds(wallTime-entry.LastTryAt), entry.LastTryZone
 	}
 	if noMoreAttempts {
-		restored.Attempts = math.MaxInt32
+		restored.Attempts = journal.NoMoreTries
 	}
 	r.events = append(r.events, restored)
 }
