--- a/internal/journal/append.go
+++ b/internal/journal/append.go
@@ -9,6 +9,14 @@
 // message: each writes the whole journal, and a full one would be compacted for every message that it has no space for.
 const compactionDivisor = 16
 
+// endingDivisor is the part of the budget that ReserveForEnding reserves. Once the messages that took it have ended, their
+// space is worth a compaction.
+const endingDivisor = compactionDivisor / 2
+
+// ReserveForEnding reserves a part of the budget for messages with NoMoreTries, so that others cannot keep them from being
+// recorded and ended.
+func (j *Journal) ReserveForEnding() { j.endingBytes = j.budgetBytes / endingDivisor }
+
 // worthCompacting reports whether a compaction may free enough to be made for a new message.
 func (j *Journal) worthCompacting() bool {
 	return j.fileBytes-j.sizeCompacted+j.endedBytes >= j.budgetBytes/compactionDivisor
@@ -32,6 +40,14 @@
 	return file+live+a.reserve <= j.budgetBytes
 }
 
+// reserveFor returns how much of the budget has to be left when a message is accepted.
+func (j *Journal) reserveFor(entry *Entry) int64 {
+	if entry.Tries >= NoMoreTries {
+		return j.reserveBytes
+	}
+	return j.reserveBytes + j.endingBytes
+}
+
 // hasNoSpaceFor reports whether messages certainly do not fit, by the size of their bodies alone, so that they need not be
 // encoded.
 func (j *Journal) hasNoSpaceFor(records []Record) bool {
@@ -63,7 +79,7 @@
 		switch record.Op {
 		case OpAccepted:
 			added.growth += recordBytes[i] + historyBytes
-			added.reserve = j.reserveBytes
+			added.reserve = max(added.reserve, j.reserveFor(record.Entry))
 		case OpHealth, OpDisabled, OpRetryAfter:
 			added.growth += historyBytes
 		case OpClassTerms:
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -34,6 +34,7 @@
 	file           *os.File
 	fileBytes      int64
 	reserveBytes   int64            // part of the budget reserved for records of pending messages
+	endingBytes    int64            // part of the budget reserved for messages with NoMoreTries
 	compactedBytes int64            // maximum size of a compacted journal
 	sizeCompacted  int64            // length of the file after the last compaction
 	endedBytes     int64            // of compactedBytes, what messages that ended since then no longer need
--- a/internal/relay/backlog.go
+++ b/internal/relay/backlog.go
@@ -63,6 +63,7 @@
 		return errors.Join(os.RemoveAll(dir), journal.RemoveFence(r.config.StateDir))
 	}
 	r.overflow = newOverflow(dir, int64(r.config.Backlog.DiskMB*1e6), r.config.backlogWindow())
+	r.journal.ReserveForEnding()
 	return r.openBacklogFolder()
 }
 
--- a/internal/relay/backlog_space_test.go
+++ b/internal/relay/backlog_space_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -78,6 +79,31 @@
 	awaitMetrics(t, r, "svc.in_flight=0", "svc.backlog.messages=0")
 }
 
+// Guards against messages on disk whose time is up while other messages fill the journal: they get no notice until those
+// have ended.
+func TestMessagesExpireBesideFullJournal(t *testing.T) {
+	endpoint := newRecordingEndpoint(t)
+	p := newFakePlatform(t, endpoint.server(7, false), endpoint.server(8, true))
+	r, _ := startSmallJournalRelay(t, p, "")
+	for n := range 20 { // a destination that is served gets a large part of the window
+		submitAccepted(t, r, largeMessages(1, 8, fmt.Sprint("served", n), 0)...)
+		endpoint.awaitMessages(t, n+1)
+	}
+	p.publish(2, true, endpoint.server(7, false), endpoint.server(8, false))
+	for _, bodyBytes := range []int{largeBodyBytes, 8 << 10, 1} {
+		for n := range 100 {
+			message := testMessage{id: fmt.Sprintf("waiting.%d.%d", bodyBytes, n), dest: 8, body: strings.Repeat("x", bodyBytes)}
+			if submit(t, r, message)[0].status != 202 {
+				break
+			}
+		}
+	}
+	const timeLeft = 2 * time.Second
+	expiring := submitAccepted(t, r, numberedMessages(100, 7, "expiring", testMessage{timeLeft: timeLeft, body: strings.Repeat("x", 3<<10)})...)
+	due := time.Now().Add(timeLeft)
+	wantNoticesInTime(t, p, expiring, due)
+}
+
 // Guards against messages that expired on disk while no process ran, and that get no notice after the start because the
 // journal has no space for all of them at once.
 func TestMessagesExpiredBeforeStartEndWithSmallJournal(t *testing.T) {
