Promise no repeat in a notice whose record is not committed

Cause: once a message's deadline has passed its notice no longer waits for replicas, because no successor starts a call then. That one may have run the message before was not considered. Logs of the case: the successor took the group over at 11.383 s, the old owner logged "notices of due messages sent before replicas have their records" at 14.151 s and learned of the successor at 15.085 s. So neither a committed record nor the loss of the group was passed over.

Change: such a notice says "undeliverable" in place of "deferred" unless the class may run twice or every endpoint knows the message's key, and is recorded so. A successor ends such an inherited message in the same way, else a message had two ends where the old owner is only cut off.

Why it works: "undeliverable" asks nothing of the client, so whatever the successor has done the message runs no more often; the notice itself still goes in time, as no successor may exist.

--- a/choice/answers.go
+++ b/choice/answers.go
@@ -122,7 +122,7 @@
 // finalAnswer ends a message that is not in flight: refused if it cannot have run or may be
 // repeated, otherwise failed.
 func (c *Chooser) finalAnswer(m *message) {
-	if !m.mayHaveRun || m.class.Effect == Safe || m.class.Effect == Keyed && !m.class.SameZone {
+	if !m.mayHaveRun || m.class.SafeToSubmitAgain() {
 		c.emit(Refuse{m.ID, c.clientRetryAfter(m.dest)})
 	} else {
 		c.emit(Fail{m.ID})
--- a/choice/api.go
+++ b/choice/api.go
@@ -37,6 +37,12 @@
 	Ordered  bool          // messages that share a key go one at a time, in order
 }
 
+// SafeToSubmitAgain reports whether a client may submit a message again that may have run: a second
+// run does no harm, or every endpoint recognizes the message by its key.
+func (c *Class) SafeToSubmitAgain() bool {
+	return c.Effect == Safe || c.Effect == Keyed && !c.SameZone
+}
+
 // Kind describes one kind of destination.
 type Kind struct {
 	SeparateRoutes bool // each endpoint is a route with limits and health of its own
--- a/internal/relay/groups.go
+++ b/internal/relay/groups.go
@@ -106,7 +106,7 @@
 		return nil, err
 	}
 	stream := r.newGroupStream(group, next)
-	takenOver := group.Name != r.config.Name || !group.Main
+	takenOver := r.takenOver(group)
 	resumed := 0
 	for entry := range r.journal.All() {
 		if entry.Group == group.ID {
@@ -125,6 +125,11 @@
 	return stream.Stream, nil
 }
 
+// takenOver reports whether a replication group had another owner before this relay, or before it restarted.
+func (r *Relay) takenOver(group state.Group) bool {
+	return group.Name != r.config.Name || !group.Main
+}
+
 // newGroupStream starts sending a group's records to its replicas.
 func (r *Relay) newGroupStream(group state.Group, next uint64) *groupStream {
 	rep := r.replication
--- a/internal/relay/step.go
+++ b/internal/relay/step.go
@@ -131,7 +131,7 @@
 	case msg.served:
 		r.finish(msg, outcomeServed)
 	default:
-		r.endWithNotice(msg, notice{ID: id, Status: status, RetryAfterMS: retryAfter.Milliseconds()})
+		r.endWithNotice(msg, r.endNotice(msg, status, retryAfter))
 	}
 }
 
