Have the notices of an earlier process wait for replicas

Callers: a process that was upgraded or started again told the platform at once what the process before it had recorded, also where replicas did not have the record. A successor that did not know of a "deferred" could run the message after its client had submitted it again.

Cause: resumeNow queued such a notice without a record, and flush takes a notice without one as committed.

Change: in a replication group the notice is recorded anew, and then waits like any other until the record is committed or the deadline has passed.

Measured: TestRestoredNoticeWaitsForReplicas failed before (a notice at once, want none) and passes.

--- a/internal/relay/records.go
+++ b/internal/relay/records.go
@@ -84,8 +84,7 @@
 	milliseconds := func(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
 	id := entry.ID
 	if entry.NoticeStatus != "" {
-		r.queueNotice(notice{ID: entry.ID, Status: entry.NoticeStatus, RetryAfterMS: entry.RetryAfterMs})
-		r.endedIDs.add(entry.ID)
+		r.resumeNotice(entry)
 		return
 	}
 	if entry.InFlight && r.previousProcess.callOf(id) == nil {
@@ -118,6 +117,18 @@
 	r.events = append(r.events, restored)
 }
 
+// resumeNotice sends a notice on record again. That of a replication group is recorded anew and waits for that, because
+// the process that recorded it may have ended before it was committed.
+func (r *Relay) resumeNotice(entry *journal.Entry) {
+	n := notice{ID: entry.ID, Status: entry.NoticeStatus, RetryAfterMS: entry.RetryAfterMs}
+	if r.replication != nil && entry.Group != 0 {
+		n.due = r.now() + steady.Until(entry.Due)
+		r.record(journal.Record{Op: journal.OpNotice, ID: n.ID, Status: n.Status, RetryAfterMs: n.RetryAfterMS})
+	}
+	r.queueNotice(n)
+	r.endedIDs.add(entry.ID)
+}
+
 // record queues a record to be written by the next flush.
 func (r *Relay) record(record journal.Record) { r.pendingRecords = append(r.pendingRecords, record) }
 
--- a/internal/relay/uncommitted_notice_test.go
+++ b/internal/relay/uncommitted_notice_test.go
@@ -69,3 +69,23 @@
 		})
 	}
 }
+
+// Guards against a process that is upgraded or started again and at once sends the notices that the process before it had
+// recorded, though replicas do not have the records: a successor could run the messages after that.
+func TestRestoredNoticeWaitsForReplicas(t *testing.T) {
+	r, _ := newReplicatingRelay(t, fleet.ShortageRefuse)
+	due := time.Now().Add(300 * time.Millisecond)
+	m := recordAccepted(t, r, "m1", choice.Class{Effect: choice.Unsafe}, due)
+	if err := r.journal.Append(journal.Record{Op: journal.OpNotice, ID: "m1", Status: deferred, RetryAfterMs: 500}); err != nil {
+		t.Fatal(err)
+	}
+	r.resumeNow(m.Entry, false)
+	r.flush()
+	r.checkCommits()
+	want(t, "notices before they are committed or due", len(r.queuedNotices()), 0)
+	r.runLoopUntil(t, "a notice", func() bool { return len(r.queuedNotices()) > 0 })
+	if late := time.Since(due); late < 0 || late > 250*time.Millisecond {
+		t.Errorf("it is sent %v after its message's deadline", late)
+	}
+	want(t, "status told", r.queuedNotices()[0].Status, undeliverable)
+}
