Answer 500 for an uncommitted message that only endpoints of one zone know

Callers: the client of a keyed message whose acceptance was not committed in time was answered 503 and could submit it again. A successor may have the message all the same and send it to another zone than the repeat goes to; where endpoints know a key within their zone only it runs twice.

Cause: withdrawnLocally looked at the effect alone, and not at the zone.

Change: it asks SafeToSubmitAgain, as the decisions and the notices do.

Measured: TestUncommittedWithdrawalPromisesNoRepeat failed before (503, want 500) and passes.

--- a/internal/relay/uncommitted_notice_test.go
+++ b/internal/relay/uncommitted_notice_test.go
@@ -89,3 +89,16 @@
 	}
 	want(t, "status told", r.queuedNotices()[0].Status, undeliverable)
 }
+
+// Guards against a client that is told to submit a message again whose withdrawal is not committed, where only endpoints of
+// one zone know the message's key: a successor may have run it in another zone.
+func TestUncommittedWithdrawalPromisesNoRepeat(t *testing.T) {
+	for _, test := range repeatClasses {
+		status := 503
+		if test.status == undeliverable {
+			status = 500
+		}
+		e := &journal.Entry{Terms: &choice.Terms{Class: test.class}}
+		want(t, "answer, "+test.name, withdrawnLocally(e).status, status)
+	}
+}
--- a/internal/relay/withdraw.go
+++ b/internal/relay/withdraw.go
@@ -53,7 +53,7 @@
 // that, so that a successor may deliver it. If the message must not be delivered twice, the client is not told to
 // retry.
 func withdrawnLocally(entry *journal.Entry) apiResponse {
-	if entry.Terms != nil && entry.Terms.Class.Effect == choice.Unsafe {
+	if entry.Terms != nil && !entry.Terms.Class.SafeToSubmitAgain() {
 		return apiResponse{status: http.StatusInternalServerError, text: "it is not known whether it will be delivered"}
 	}
 	return apiResponse{status: http.StatusServiceUnavailable, retryAfter: defaultRetryAfter, text: "too few copies"}
