--- a/internal/framing/servers_test.go
+++ b/internal/framing/servers_test.go
@@ -1,12 +1,10 @@
 package framing_test
 
 import (
-	"bufio"
 	"io"
 	"net"
 	"net/http"
 	"testing"
-	"time"
 
 	"larchrouter/internal/keeper"
 	"larchrouter/internal/replication"
@@ -55,22 +53,10 @@
 // next call.
 func TestFleetServersRejectOptionsWithUnclearEnd(t *testing.T) {
 	for name, addr := range map[string]string{"replica": startReplicaServer(t), "keeper": startKeeper(t)} {
-		conn, err := net.Dial("tcp", addr)
-		if err != nil {
-			t.Fatal(err)
-		}
-		conn.SetDeadline(time.Now().Add(3 * time.Second))
-		io.WriteString(conn, "OPTIONS * HTTP/1.0\r\nConnection: keep-alive\r\nTransfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\n35\r\n"+
+		status, more := exchange(t, addr, "OPTIONS * HTTP/1.0\r\nConnection: keep-alive\r\nTransfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\n35\r\n"+
 			"POST /inner HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n")
-		reader := bufio.NewReader(conn)
-		answer, err := http.ReadResponse(reader, nil)
-		if err != nil {
-			t.Fatal(err)
-		}
-		io.Copy(io.Discard, answer.Body)
-		if _, more := reader.ReadByte(); answer.StatusCode != http.StatusHTTPVersionNotSupported || more != io.EOF {
-			t.Errorf("%s: status %d, then %v, want 505 and the end of the connection", name, answer.StatusCode, more)
+		if status != http.StatusHTTPVersionNotSupported || more != io.EOF {
+			t.Errorf("%s: status %d, then %v, want 505 and the end of the connection", name, status, more)
 		}
-		conn.Close()
 	}
 }
--- a/internal/relay/framing_test.go
+++ b/internal/relay/framing_test.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"strings"
 	"testing"
-	"time"
 )
 
 // framedRequest returns the text of a message with an HTTP version and the given header lines for its length.
@@ -57,18 +56,7 @@
 		"a bad header":                        "POST /api HTTP/1.1\r\nHost: a\r\nno colon\r\n\r\n" + inner,
 		"no host":                             "POST /api HTTP/1.1\r\nContent-Length: 0\r\n\r\n" + inner,
 	} {
-		conn, err := net.Dial("tcp", relay.Addr())
-		if err != nil {
-			t.Fatal(err)
-		}
-		conn.SetDeadline(time.Now().Add(3 * time.Second))
-		io.WriteString(conn, text)
-		reader := bufio.NewReader(conn)
-		status, _, err := readResponse(reader)
-		if _, more := reader.ReadByte(); err != nil || status < 400 || more != io.EOF {
-			t.Errorf("%s: status %d, %v, then %v, want an error and the end of the connection", name, status, err, more)
-		}
-		conn.Close()
+		wantRejected(t, relay.Addr(), name, text)
 	}
 	status, _ := postMessage(t, relay.Addr(), "m1", "payment")
 	want(t, "status of a sound request", status, 202)
--- a/internal/relay/options_test.go
+++ b/internal/relay/options_test.go
@@ -1,32 +1,11 @@
 package relay
 
 import (
-	"bufio"
 	"fmt"
-	"io"
-	"net"
 	"strings"
 	"testing"
-	"time"
 )
 
-// wantRejected sends text on a new connection and wants one error in answer, then the end of the connection.
-func wantRejected(t *testing.T, addr, name, text string) {
-	t.Helper()
-	conn, err := net.Dial("tcp", addr)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer conn.Close()
-	conn.SetDeadline(time.Now().Add(3 * time.Second))
-	io.WriteString(conn, text)
-	reader := bufio.NewReader(conn)
-	status, _, err := readResponse(reader)
-	if _, more := reader.ReadByte(); err != nil || status < 400 || more != io.EOF {
-		t.Errorf("%s: status %d, %v, then %v, want an error and the end of the connection", name, status, err, more)
-	}
-}
-
 // optionsAround returns requests for "OPTIONS *" whose end is not certain, each with the text inner in or behind its body.
 func optionsAround(inner string) map[string]string {
 	chunk := fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(inner), inner)
