Have a successor wait for the whole of a shared call

Cause: messages that share a call share its connection until the longest of their time-outs, and each had its own on record only. A successor waits for what is on record.

Change: the record of a try has the call's time-out as well, where that is longer, and a successor waits for the longer one. The message's own stays, as the decisions take the next attempt's from it.

Why it works: no member gets a result before the call or its own deadline ends, so after the call's time-out, the time to start it and the drift of clocks nothing of it is out.

--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -169,7 +169,7 @@
 	case entry == nil:
 	case record.Op == OpTry:
 		entry.Tries++
-		entry.InFlight, entry.LastTryAt, entry.LastTryZone, entry.TimeoutMs = true, record.At, record.Zone, record.WaitMs
+		entry.InFlight, entry.LastTryAt, entry.LastTryZone, entry.TimeoutMs, entry.CallMs = true, record.At, record.Zone, record.WaitMs, record.CallMs
 	case record.Op == OpOutcome && entry.InFlight:
 		entry.InFlight = false
 		if record.Flag && !entry.MayHaveRun {
--- a/internal/journal/records.go
+++ b/internal/journal/records.go
@@ -22,6 +22,7 @@
 	Body         []byte        `json:"body,omitempty"`
 	Tries        int           `json:"tries,omitempty"`
 	TimeoutMs    int64         `json:"wait,omitempty"` // timeout of the last try, milliseconds
+	CallMs       int64         `json:"call,omitempty"` // timeout of the call of the last try, if it is longer than TimeoutMs
 	MayHaveRun   bool          `json:"ran,omitempty"`  // an attempt may have run at the destination
 	MayHaveRunAt int64         `json:"ran_at,omitempty"`
 	Zone         int           `json:"zone,omitempty"` // zone of the host that may have run it
@@ -65,6 +66,7 @@
 	Entry        *Entry      `json:"e,omitempty"`
 	At           int64       `json:"at,omitempty"`
 	WaitMs       int64       `json:"w,omitempty"`
+	CallMs       int64       `json:"l,omitempty"`
 	Zone         int         `json:"z,omitempty"`
 	Flag         bool        `json:"r,omitempty"`
 	Status       string      `json:"s,omitempty"`
--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -35,10 +35,7 @@
 		hostCall.members, hostCall.sends = append(hostCall.members, msg), append(hostCall.sends, send)
 	}
 	for _, hostCall := range calls {
-		var records []journal.Record
-		for i, msg := range hostCall.members {
-			records = append(records, journal.Record{Op: journal.OpTry, ID: msg.ID, At: wallTime, WaitMs: hostCall.sends[i].Timeout.Milliseconds(), Zone: hostCall.host.zone})
-		}
+		records := tryRecords(hostCall, wallTime)
 		// An attempt must not be sent unless it is recorded: after a restart, nothing would be known of it.
 		recordedAt := time.Now()
 		err := r.commitInOrder(records, callStartTimeout, func(committed bool) { r.startRecorded(hostCall, recordedAt, committed) })
@@ -49,6 +46,24 @@
 	}
 }
 
+// tryRecords returns the records of a call's attempts. The members of a call share it until the longest of their time-outs,
+// so a member with a shorter one has the longest recorded as well.
+func tryRecords(hostCall *call, wallTime int64) (records []journal.Record) {
+	var longest time.Duration
+	for _, send := range hostCall.sends {
+		longest = max(longest, send.Timeout)
+	}
+	for i, msg := range hostCall.members {
+		timeout := hostCall.sends[i].Timeout
+		record := journal.Record{Op: journal.OpTry, ID: msg.ID, At: wallTime, WaitMs: timeout.Milliseconds(), Zone: hostCall.host.zone}
+		if timeout < longest {
+			record.CallMs = longest.Milliseconds()
+		}
+		records = append(records, record)
+	}
+	return records
+}
+
 // reportNotSent reports to the Chooser that no message of a call was sent.
 func (r *Relay) reportNotSent(c *call) {
 	for _, send := range c.sends {
--- a/internal/relay/resume.go
+++ b/internal/relay/resume.go
@@ -9,12 +9,12 @@
 )
 
 // resume continues with a message on record. If another process may have an attempt in flight, the message waits
-// until that has certainly ended: for the attempt's timeout, the time within which its call may still have been sent,
-// and 1 % for the difference between clocks.
+// until that has certainly ended: for the timeout of its call, the time within which the call may still have been sent, and
+// 1 % for the difference between clocks.
 func (r *Relay) resume(entry *journal.Entry, mayRunElsewhere bool) {
 	delay := time.Duration(0)
 	if mayRunElsewhere && entry.InFlight && entry.NoticeStatus == "" {
-		delay = time.Duration(entry.TimeoutMs)*time.Millisecond + callStartTimeout
+		delay = time.Duration(max(entry.TimeoutMs, entry.CallMs))*time.Millisecond + callStartTimeout
 		delay += delay / 100
 	}
 	if delay == 0 {
