Close connections of keepers and replicas after a call with a Transfer-Encoding

Callers: what a sender meant as the rest of a body, by a Content-Length beside a Transfer-Encoding, was read as the next call by a keeper or a replica. Relays answer such requests 411.

Cause: net/http goes by the Transfer-Encoding, drops the Content-Length before a handler can see it, and goes on with the connection, which RFC 9112, 6.1, forbids.

Change: framing.Guard ends the connection with the answer to any accepted request with a Transfer-Encoding. Chunked calls are still read, as a proxy between relays may send them.

Measured: TestFleetServersCloseAfterChunkedCall failed before (the next call was answered, at both) and passes.

--- a/internal/framing/framing.go
+++ b/internal/framing/framing.go
@@ -55,7 +55,8 @@
 // Guard has a server, which must not have started, serve only requests that check accepts, which is one of the functions
 // above. It closes the connection with the answer to any other, because nobody knows where the next request begins;
 // onReject, which may be nil, is called before. Guard covers each request that the server reads: net/http would answer
-// "OPTIONS *" by itself, without the server's handler, and go on with the connection.
+// "OPTIONS *" by itself, without the server's handler, and go on with the connection. A connection also ends with the
+// answer to an accepted request that has a Transfer-Encoding.
 func Guard(server *http.Server, check func(*http.Request) error, onReject func(*http.Request)) {
 	server.DisableGeneralOptionsHandler = true
 	server.Handler = require(check, server.Handler, onReject)
@@ -66,6 +67,9 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 		err := check(req)
 		if err == nil {
+			if len(req.TransferEncoding) > 0 { // net/http does not tell whether there was a Content-Length as well
+				w.Header().Set("Connection", "close")
+			}
 			next.ServeHTTP(w, req)
 			return
 		}
--- a/internal/framing/servers_test.go
+++ b/internal/framing/servers_test.go
@@ -1,6 +1,7 @@
 package framing_test
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -49,6 +50,18 @@
 	return config.HTTP
 }
 
+// Guards against a server of the fleet that goes on with a connection whose sender may have meant the Content-Length beside
+// a Transfer-Encoding: the rest of the body would be the next call.
+func TestFleetServersCloseAfterChunkedCall(t *testing.T) {
+	for name, addr := range map[string]string{"replica": startReplicaServer(t), "keeper": startKeeper(t)} {
+		inner := "POST /inner HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n"
+		_, more := exchange(t, addr, fmt.Sprintf("POST /outer HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n%s", len(inner)+5, inner))
+		if more != io.EOF {
+			t.Errorf("%s: %v behind the answer, want the end of the connection", name, more)
+		}
+	}
+}
+
 // Guards against a server of the fleet that answers "OPTIONS *" without a check of its framing, and reads its body as the
 // next call.
 func TestFleetServersRejectOptionsWithUnclearEnd(t *testing.T) {
