Discard what follows a closed connection in larger reads

Cause: net/http reads a single byte in the background to detect that a client disconnects. Once this side had closed, inboundConn.Read went on with that byte as its buffer, and read and discarded each of up to 256 KiB by itself. A profile had 92% of the time of reads there; the same crowd by POST was as slow, by GET (23 ms) not.

Change: after the close, when nothing is passed on any more, input is read into 1 KiB at least.

--- a/internal/relay/inbound_conn.go
+++ b/internal/relay/inbound_conn.go
@@ -64,10 +64,26 @@
 			return n, err
 		case reportEOF:
 			return 0, io.EOF
+		case discardRead:
+			p = c.discardBuffer(p)
 		}
 	}
 }
 
+// discardBufferBytes is the least space for input that is discarded.
+const discardBufferBytes = 1 << 10
+
+// discardBuffer returns what to read into after input was discarded. Once this side has closed nothing is passed on any
+// more, and the single byte that the server asks for while a request is handled would take a system call for each byte.
+func (c *inboundConn) discardBuffer(p []byte) []byte {
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
+	if !c.locallyClosed || len(p) >= discardBufferBytes {
+		return p
+	}
+	return make([]byte, discardBufferBytes)
+}
+
 // readAction is what happens to bytes that were read.
 type readAction int
 
