Log and count each change of a unit's state with what was known of it

The records could not tell why destination 6 left the state suspect: the way from suspect straight to healthy logged nothing, and no line had the failures, the calls that were out or the age of the answer.

- choice: UnitChange, a typed action, in place of three lines of text.
It has the states, the reason, the time since the last answer, the failures and refusals since, the calls in flight with the age of the oldest, the age of the answer that led to the change, the calls of the last overload window and this relay's budget in one just after a return.
Send names the state of the unit it goes to.
- relay: a line at level info with all of it for each change (the message is worded as before), svc.outages.begun, .short, .slow_starts, .warmed_up, .trials, .slow_start_sent; the debug line of each request has the state.
- The states have names of their own (UnitState) that logs share.

TestStateIsBounded takes UnitChange for the explanation that the line was.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -118,7 +118,7 @@
 		d.hosts = slices.DeleteFunc(d.hosts, func(h *host) bool {
 			// A removed host that may come back keeps its retry-after time and its health.
 			forget := h.State == Removed && h.inFlight == 0 && c.now >= h.unit.retryAfter &&
-				(h.unit.state == healthy || c.now-h.unit.stateSince > c.settings.Rules.WarmUp)
+				(h.unit.state == Healthy || c.now-h.unit.stateSince > c.settings.Rules.WarmUp)
 			if forget {
 				delete(c.hosts, h.Addr)
 			}
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -392,7 +392,7 @@
 			r.step(r.result(id, s.Host, Served))
 		}
 	}
-	if u := r.chooser.dests[1].units[0]; u.state != healthy {
+	if u := r.chooser.dests[1].units[0]; u.state != Healthy {
 		t.Errorf("unit is in state %d, want healthy", u.state)
 	}
 }
@@ -439,18 +439,18 @@
 func TestStaleConnectionsAreNoOutage(t *testing.T) {
 	for _, stale := range []bool{true, false} {
 		r := newHarness(t, settings(), ready("a", 1, 0, 0))
-		healthy := true
+		Healthy := true
 		for i := range 4 {
 			id := fmt.Sprint("m", i)
 			r.step(arrival(id, 0))
 			for _, a := range r.step(r.result(id, "a", Reset, func(e *Result) { e.StaleConn = stale })) {
 				h, ok := a.(Health)
-				healthy = healthy && !(ok && h.Unwell)
+				Healthy = Healthy && !(ok && h.Unwell)
 			}
 			r.advance(time.Second)
 		}
-		if healthy != stale {
-			t.Errorf("resets with StaleConn %v: healthy is %v", stale, healthy)
+		if Healthy != stale {
+			t.Errorf("resets with StaleConn %v: healthy is %v", stale, Healthy)
 		}
 	}
 }
@@ -714,7 +714,7 @@
 // lately, takes the first failure for an outage and does not try again at once; a relay of a small
 // fleet goes on.
 func TestFirstFailureInALargeFleetIsAnOutage(t *testing.T) {
-	for fleet, want := range map[int]health{2: healthy, 40: suspect} {
+	for fleet, want := range map[int]UnitState{2: Healthy, 40: Suspect} {
 		s := settings()
 		s.Fleet = fleet
 		h := ready("a", 1, 0, 0)
@@ -726,7 +726,7 @@
 		if got := r.chooser.dests[1].units[0].state; got != want {
 			t.Errorf("fleet of %d: health %v after the first failure, want %v", fleet, got, want)
 		}
-		if n := len(sends(r.advance(5 * time.Second))); want == suspect && n > 0 {
+		if n := len(sends(r.advance(5 * time.Second))); want == Suspect && n > 0 {
 			t.Errorf("fleet of %d: %d calls within 5s of the first failure, want none", fleet, n)
 		}
 	}
@@ -743,7 +743,7 @@
 	r.now += 5 * time.Second
 	r.step(Woken{}, r.result("m", "a", Served), r.result("n", "b", Served))
 	for id, d := range r.chooser.dests {
-		if got := d.units[0].state; got != healthy {
+		if got := d.units[0].state; got != Healthy {
 			t.Errorf("destination %d: health %v after the relay's own stall, want healthy", id, got)
 		}
 	}
--- a/choice/deferred.go
+++ b/choice/deferred.go
@@ -121,9 +121,9 @@
 // time not after now if none is known. It is a lower bound only.
 func (c *Chooser) earliestCall(u *unit) time.Duration {
 	earliest := max(u.retryAfter, u.pauseUntil)
-	if u.state == suspect && len(u.calls) > 1 {
+	if u.state == Suspect && len(u.calls) > 1 {
 		return math.MaxInt64
-	} else if u.state == suspect {
+	} else if u.state == Suspect {
 		earliest = max(earliest, u.trialAt)
 	}
 	// A pace grows by less than a fifth in a second.
--- a/choice/events.go
+++ b/choice/events.go
@@ -138,6 +138,7 @@
 	// Before is the time by which a repeat must have been sent completely; later it must not be
 	// sent, since the destination no longer drops it. 0 for no such limit.
 	Before time.Duration
+	Unit   UnitState // state of the host's unit, for logs and metrics
 }
 
 // Refuse ends a message that did not run or may safely be repeated. The client may submit it again,
--- a/choice/health.go
+++ b/choice/health.go
@@ -14,7 +14,7 @@
 func (c *Chooser) recordBadOutcome(u *unit) {
 	u.servedStreak = 0
 	u.badStreak++
-	if u.state == suspect {
+	if u.state == Suspect {
 		u.failedTrials++
 		u.trialAt = c.now + c.trialDelay(u)
 	}
@@ -37,9 +37,9 @@
 	// Either this relay calls the unit too seldom to know more, or the unit refuses connections
 	// while it warms up: it went down again.
 	enough := c.seldomCalls(u) && c.now-u.lastServed > c.settings.Rules.OverloadWindow ||
-		u.state == recovering && outcome == NoConnection
-	if u.state != suspect && (enough || bits.OnesCount(u.recentFailures) >= outageFailures) {
-		c.markSuspect(u, d, "failures")
+		u.state == Recovering && outcome == NoConnection
+	if u.state != Suspect && (enough || bits.OnesCount(u.recentFailures) >= outageFailures) {
+		c.markSuspect(u, d, ChangedByFailures)
 	}
 }
 
@@ -66,14 +66,14 @@
 }
 
 // markSuspect starts an outage of a unit: from now on it gets single trials only.
-func (c *Chooser) markSuspect(u *unit, d *dest, reason string) {
-	if u.state == healthy {
+func (c *Chooser) markSuspect(u *unit, d *dest, reason ChangeReason) {
+	if u.state == Healthy {
 		u.baseRate = max(u.servedRate, 1/c.settings.Rules.WarmUp.Seconds())
 	}
-	u.sawErrors = u.sawErrors || u.state == recovering // one answer is no proof that it is healthy again
+	u.sawErrors = u.sawErrors || u.state == Recovering // one answer is no proof that it is healthy again
 	c.markChanged(d)
-	c.log("destination %d unit %s suspect: %s", d.id, u.name, reason)
-	u.state, u.stateSince, u.failedTrials, u.servedStreak = suspect, c.now, 0, 0
+	c.changeState(u, d, Suspect, reason)
+	u.failedTrials, u.servedStreak = 0, 0
 	u.trialAt = c.now + c.trialDelay(u)
 	c.emit(Health{u.name, true, u.baseRate})
 }
@@ -91,11 +91,11 @@
 	}
 	// Only refusals, for longer than a rate limit explains, mean that the destination is down.
 	window, longestWait := c.settings.Rules.OverloadWindow, 2*c.settings.Rules.OverloadWindow/3
-	if c.metered(u) || u.state == recovering { // its retry-after times come from what is left of its limit
+	if c.metered(u) || u.state == Recovering { // its retry-after times come from what is left of its limit
 		longestWait = window
 	}
-	if u.state != suspect && (retryAfter > longestWait || u.badStreak > 6 && c.now-u.lastServed >= window) {
-		c.markSuspect(u, d, "refusals only")
+	if u.state != Suspect && (retryAfter > longestWait || u.badStreak > 6 && c.now-u.lastServed >= window) {
+		c.markSuspect(u, d, ChangedByRefusals)
 	}
 }
 
@@ -132,8 +132,9 @@
 	warmUp := c.settings.Rules.WarmUp.Seconds()
 	u.servedRate = u.servedRate*exp(-(c.now-u.lastServed).Seconds()/warmUp) + 1/warmUp
 	shortOutage := u.badStreak == 0 || !u.sawErrors && c.now-u.lastServed < c.settings.Rules.OverloadWindow
+	answer := unitAnswer{took: took, servedBefore: u.lastServed, badOutcomes: u.badStreak}
 	u.lastServed = c.now
-	if u.state == suspect && (c.now-took < u.connRefusedAt ||
+	if u.state == Suspect && (c.now-took < u.connRefusedAt ||
 		c.now+c.settings.Rules.OverloadWindow < u.retryAfter) {
 		return // sent before the outage, or before a wait longer than a rate limit's: no sign of recovery
 	}
@@ -141,17 +142,18 @@
 	u.servedStreak++
 	u.recordOutcome(false)
 	switch {
-	case u.state == healthy && u.recentFailures == 0:
+	case u.state == Healthy && u.recentFailures == 0:
 		u.mayHaveRun, u.sawErrors = false, false
-	case u.state == suspect && shortOutage:
-		u.state, u.stateSince, u.mayHaveRun, u.recentFailures = healthy, c.now, false, 0
+	case u.state == Suspect && shortOutage:
+		c.changeStateByAnswer(u, d, Healthy, ChangedByAnswer, answer)
+		u.mayHaveRun, u.recentFailures = false, 0
 		c.emit(Health{u.name, false, 0})
-	case u.state == suspect:
-		u.state, u.stateSince, u.recentFailures = recovering, c.now, 0
-		c.log("destination %d unit %s recovering", d.id, u.name)
-	case u.state == recovering && c.now-u.stateSince >= c.settings.Rules.WarmUp:
-		u.state, u.stateSince, u.mayHaveRun, u.sawErrors = healthy, c.now, false, false
-		c.log("destination %d unit %s healthy", d.id, u.name)
+	case u.state == Suspect:
+		c.changeStateByAnswer(u, d, Recovering, ChangedByAnswer, answer)
+		u.recentFailures = 0
+	case u.state == Recovering && c.now-u.stateSince >= c.settings.Rules.WarmUp:
+		c.changeStateByAnswer(u, d, Healthy, ChangedByWarmUp, answer)
+		u.mayHaveRun, u.sawErrors = false, false
 		c.emit(Health{u.name, false, 0})
 	}
 }
@@ -162,10 +164,10 @@
 func (c *Chooser) suspectSilent() {
 	for d := range c.calledDests {
 		for _, u := range d.units {
-			awaitsAnswer := u.state == healthy && len(u.calls) > 0
+			awaitsAnswer := u.state == Healthy && len(u.calls) > 0
 			if awaitsAnswer && c.now-max(u.calls[0].sentAt, u.lastServed) > c.silenceLimit(d) {
 				u.mayHaveRun = true
-				c.markSuspect(u, d, "silent")
+				c.markSuspect(u, d, ChangedBySilence)
 			}
 		}
 	}
@@ -176,10 +178,10 @@
 	if c.now < u.retryAfter || c.now < u.pauseUntil {
 		return false
 	}
-	if u.state == suspect {
+	if u.state == Suspect {
 		return len(u.calls) <= 1 && c.now >= u.trialAt
 	}
-	inBudget := u.state != recovering || c.withinBudget(u.recentSends, u, u.stateSince, 1)
+	inBudget := u.state != Recovering || c.withinBudget(u.recentSends, u, u.stateSince, 1)
 	return inBudget && (u.pace == 0 || u.tokens >= 1)
 }
 
--- a/choice/index.go
+++ b/choice/index.go
@@ -169,7 +169,7 @@
 	for _, d := range c.changedDests {
 		n := 0
 		for _, h := range d.hosts {
-			if h.State != Removed && (c.disabled[h.Addr] || h.unit.state == suspect) {
+			if h.State != Removed && (c.disabled[h.Addr] || h.unit.state == Suspect) {
 				n++
 			}
 		}
--- a/choice/manual.go
+++ b/choice/manual.go
@@ -20,7 +20,7 @@
 	switch {
 	case e.Disabled:
 		c.disabled[e.Host] = true
-		if h != nil && h.unit.state == healthy {
+		if h != nil && h.unit.state == Healthy {
 			h.unit.baseRate = h.unit.servedRate // used for the cold budget where no rate is listed
 		}
 		c.log("endpoint %s is out by hand", e.Host)
--- a/choice/oracle.go
+++ b/choice/oracle.go
@@ -100,7 +100,7 @@
 	d.latencies.refresh()
 	timeout := d.latencies.bestTimeout
 	switch {
-	case u.state == suspect:
+	case u.state == Suspect:
 		timeout = c.silenceLimit(d) << min(u.failedTrials, 4)
 	case timeout > 0 && d.waiting.count > 1:
 		// Where other messages wait, a restart takes up a slot that they need and adds to an
--- a/choice/outage_test.go
+++ b/choice/outage_test.go
@@ -18,7 +18,7 @@
 		c.Step(time.Hour, []Event{ListUpdate{Complete: true, Hosts: []Host{ready("a", 1, 0, 0)}},
 			KnownOutage{Host: "a", BaseRate: 5}})
 		u := c.hosts["a"].unit
-		u.state, u.stateSince = recovering, time.Hour // one of its trials was served
+		u.state, u.stateSince = Recovering, time.Hour // one of its trials was served
 		var sent Send
 		for _, a := range c.Step(time.Hour+time.Second, []Event{Arrival{ID: "m", Dest: 1, Left: 9 * time.Second}}) {
 			if s, ok := a.(Send); ok {
@@ -35,7 +35,7 @@
 				unwell = h.Unwell
 			}
 		}
-		if unwell != want || (u.state == suspect) != want {
+		if unwell != want || (u.state == Suspect) != want {
 			t.Errorf("retry-after %v with an overload window of 2 s: outage %v in state %d, want %v", wait, unwell,
 				u.state, want)
 		}
@@ -50,23 +50,23 @@
 	u := r.chooser.hosts["a"].unit
 	r.step(arrival("well", 0))
 	r.step(r.result("well", "a", Served))
-	u.state, u.stateSince = recovering, r.now
+	u.state, u.stateSince = Recovering, r.now
 	r.now += 500 * ms
-	for u.state == recovering {
+	for u.state == Recovering {
 		for _, a := range sends(r.step(arrival(fmt.Sprint("m", r.now), 0))) {
 			r.step(r.result(a.ID, "a", NoConnection))
 		}
 		r.now += 20 * ms
 	}
-	if u.state != suspect || r.now-u.lastServed >= r.chooser.settings.Rules.OverloadWindow {
+	if u.state != Suspect || r.now-u.lastServed >= r.chooser.settings.Rules.OverloadWindow {
 		t.Fatalf("state %d %v after an answer, want an outage within the overload window", u.state, r.now-u.lastServed)
 	}
-	for u.state == suspect {
+	for u.state == Suspect {
 		for _, a := range sends(r.advance(20 * ms)) {
 			r.step(r.result(a.ID, "a", Served))
 		}
 	}
-	if u.state != recovering {
+	if u.state != Recovering {
 		t.Errorf("state %d after one answer, want it to recover within its budget", u.state)
 	}
 }
@@ -102,7 +102,7 @@
 	u := r.chooser.hosts["a"].unit
 	r.step(arrival("well", 0))
 	r.step(r.result("well", "a", Served))
-	u.state, u.stateSince = recovering, r.now
+	u.state, u.stateSince = Recovering, r.now
 	sentBefore := sends(r.step(arrival("before", 0)))
 	r.now += 10 * ms
 	refused := sends(r.step(arrival("refused", 0)))
@@ -111,12 +111,12 @@
 	}
 	r.now += 10 * ms
 	r.step(r.result("refused", "a", NoConnection))
-	if u.state != suspect {
+	if u.state != Suspect {
 		t.Fatalf("state %d after a refused connection during the warm-up, want an outage", u.state)
 	}
 	r.now += 10 * ms
 	r.step(Result{ID: "before", Host: "a", Outcome: Served, Took: 30 * ms, Done: true})
-	if u.state != suspect {
+	if u.state != Suspect {
 		t.Errorf("state %d after an answer from before the outage, want the outage to last", u.state)
 	}
 }
--- a/choice/pick.go
+++ b/choice/pick.go
@@ -21,8 +21,8 @@
 	// A message that cannot be repeated does not go to a unit with failures after which a message
 	// may have run, until the unit has served a few answers or the message's own time runs short.
 	u := h.unit
-	reliable := u.state == healthy || !u.mayHaveRun ||
-		u.state == recovering && (!u.sawErrors || u.servedStreak >= outcomeHistory)
+	reliable := u.state == Healthy || !u.mayHaveRun ||
+		u.state == Recovering && (!u.sawErrors || u.servedStreak >= outcomeHistory)
 	return reliable || m.class.Effect != Unsafe || m.deadline-c.now < m.class.Deadline/4
 }
 
@@ -94,7 +94,7 @@
 	}
 	finish := u.latencySec * float64(h.inFlight+1) / m.class.Aim.Seconds()
 	cost += max(0, finish-0.25) + finish/100
-	if h == m.lastHost || u.state != healthy || h.failures > 0 {
+	if h == m.lastHost || u.state != Healthy || h.failures > 0 {
 		cost += unsteadyHostCost
 	}
 	if c.now < h.retryAt {
--- a/choice/restore.go
+++ b/choice/restore.go
@@ -34,7 +34,7 @@
 	}
 	// With these badStreak, mayHaveRun and sawErrors, a single answer does not end the outage.
 	h.unit.servedRate, h.unit.badStreak, h.unit.mayHaveRun, h.unit.sawErrors = e.BaseRate, 1, true, true
-	c.markSuspect(h.unit, h.dest, "unwell before the restart")
+	c.markSuspect(h.unit, h.dest, ChangedByRestart)
 	window, _ := c.coldBudget(h.unit, 0)
 	h.unit.recentSends = slices.Repeat([]time.Duration{c.now}, int(window)+1)
 	if !c.seldomCalls(h.unit) {
@@ -48,7 +48,7 @@
 	earliest, servedRate := time.Duration(-1), 0.0
 	for _, u := range d.units {
 		at := max(u.retryAfter, u.pauseUntil)
-		if u.state == suspect {
+		if u.state == Suspect {
 			at = max(at, u.trialAt)
 		}
 		if remaining := max(0, at-c.now); earliest < 0 || remaining < earliest {
--- a/choice/restore_test.go
+++ b/choice/restore_test.go
@@ -84,7 +84,7 @@
 		got = sends(r.advance(5 * ms))
 	}
 	r.step(r.result(got[0].ID, "a", Served))
-	if s := r.chooser.hosts["a"].unit.state; s != recovering {
+	if s := r.chooser.hosts["a"].unit.state; s != Recovering {
 		t.Fatalf("state %d after one answer, want it to recover within its budget", s)
 	}
 }
--- a/choice/setup.go
+++ b/choice/setup.go
@@ -130,7 +130,7 @@
 		return
 	}
 	old := u.name
-	if u.name = d.hosts[i].Addr; u.state != healthy {
+	if u.name = d.hosts[i].Addr; u.state != Healthy {
 		c.emit(Health{u.name, true, u.baseRate})
 		c.emit(Health{old, false, 0})
 	}
--- a/choice/snapshot.go
+++ b/choice/snapshot.go
@@ -159,12 +159,12 @@
 	}
 	for _, saved := range snapshot.Units {
 		h := c.hosts[saved.Host]
-		if h == nil || saved.State < int(healthy) || saved.State > int(recovering) {
+		if h == nil || saved.State < int(Healthy) || saved.State > int(Recovering) {
 			continue
 		}
 		u := h.unit
 		*u = unit{name: u.name, createdAt: u.createdAt, sharesCalls: u.sharesCalls, listedRate: u.listedRate,
-			knownRate: saved.Listed, state: health(saved.State), stateSince: c.now - saved.Since,
+			knownRate: saved.Listed, state: UnitState(saved.State), stateSince: c.now - saved.Since,
 			retryAfter: c.now + saved.Wait, pauseUntil: c.now + saved.Pause,
 			recentFailures: saved.Recent, servedStreak: saved.Streak, sawErrors: saved.Errors,
 			mayHaveRun: saved.Risky, trialAt: c.now + saved.Trial, failedTrials: saved.Trials,
--- a/choice/snapshot_test.go
+++ b/choice/snapshot_test.go
@@ -53,7 +53,7 @@
 	if next.chooser.inFlight != 1 {
 		t.Fatalf("%d slots in use, want one for the resumed call", next.chooser.inFlight)
 	}
-	if n := next.chooser.hosts["b"].unit.state; n != suspect {
+	if n := next.chooser.hosts["b"].unit.state; n != Suspect {
 		t.Errorf("state %d of a unit that failed, want it suspect", n)
 	}
 	before, after := old.chooser.Snapshot(old.now), next.chooser.Snapshot(next.now)
--- a/choice/soak_test.go
+++ b/choice/soak_test.go
@@ -53,7 +53,7 @@
 		acts := c.Step(now, append(events, Woken{}))
 		explained = explained || slices.ContainsFunc(acts, func(a Action) bool {
 			switch a.(type) {
-			case Health, Log:
+			case Health, Log, UnitChange:
 				return true
 			}
 			return false
--- a/choice/state.go
+++ b/choice/state.go
@@ -59,15 +59,6 @@
 	recentSends []time.Duration // send times while it is cold after operators enabled it
 }
 
-// health is the health of a unit.
-type health int
-
-const (
-	healthy    health = iota
-	suspect           // gets single trials only
-	recovering        // gets calls within the budget of a cold destination
-)
-
 // unit is what health, limits and waits are kept for: a destination, or one of its separate routes.
 type unit struct {
 	name           string
@@ -76,7 +67,7 @@
 	knownRate      float64 // calls per second accepted from all relays: as listed, then as reported; 0 if unknown
 	hasReports     bool    // its answers carry load reports
 	sharesCalls    bool    // a call may carry more than one message
-	state          health
+	state          UnitState
 	stateSince     time.Duration // when the state began
 	retryAfter     time.Duration // no calls before this time, as the unit asked
 	pauseUntil     time.Duration // no calls before this time, by this relay's own choice
--- a/choice/turn.go
+++ b/choice/turn.go
@@ -19,7 +19,7 @@
 	// Destinations with nothing but trials go last, so that calls that may hang don't fill the
 	// slots of a small relay; a trial that is overdue for a whole window is not delayed further.
 	preferred := func(u *unit) bool {
-		return u.state != suspect || c.now-u.trialAt > c.settings.Rules.OverloadWindow
+		return u.state != Suspect || c.now-u.trialAt > c.settings.Rules.OverloadWindow
 	}
 	trialOnly := func(d *dest) int {
 		if slices.ContainsFunc(d.units, preferred) {
@@ -136,11 +136,11 @@
 	expired := func(t time.Duration) bool { return c.now-t > max(c.settings.Rules.WarmUp, time.Second) }
 	u.calls = append(u.calls, newCall)
 	u.tokens--
-	if u.state == suspect {
+	if u.state == Suspect {
 		u.trialAt = c.now + c.silenceLimit(d)<<min(u.failedTrials, 4) + c.trialDelay(u)
 	}
 	c.sendMessage(m, newCall)
-	for len(newCall.messages) < d.kind.PerCall && u.state != suspect {
+	for len(newCall.messages) < d.kind.PerCall && u.state != Suspect {
 		m := c.mostUrgent(d, d.waiting.items, func(m *message) bool { return c.maySend(m, h) })
 		if m == nil {
 			break
@@ -163,7 +163,7 @@
 	m.attempts++
 	m.call = sentCall
 	sentCall.messages = append(sentCall.messages, m)
-	s := Send{ID: m.ID, Host: sentCall.host.Addr, Timeout: m.timeout}
+	s := Send{ID: m.ID, Host: sentCall.host.Addr, Timeout: m.timeout, Unit: sentCall.host.unit.state}
 	if m.mayHaveRun && m.class.Effect == Keyed {
 		s.Before = c.windowEnd(m)
 	}
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -41,6 +41,7 @@
 	fleetState                        *lease.Status // agreed state that the relay applies; nil for one outside a fleet
 	copies                            replicationMetrics
 	backlog                           backlogMetrics
+	units                             unitMetrics
 }
 
 // backlogMetrics describe the messages on disk.
@@ -191,6 +192,7 @@
 	for reason := notWithheld + 1; reason < withholdReasonCount; reason++ {
 		fmt.Fprintf(&buf, "svc.withheld.%v=%d\n", reason, m.withheldMessages[reason])
 	}
+	m.units.appendText(&buf)
 	if lease := m.listLease; !lease.Confirmed.IsZero() {
 		fmt.Fprintf(&buf, "svc.list.age_ms=%d\nsvc.list.calls_failed=%d\nsvc.list.expired=%d\n",
 			time.Since(lease.Confirmed).Milliseconds(), lease.Failures, boolMetric(m.listExpired))
--- a/internal/relay/requestlog.go
+++ b/internal/relay/requestlog.go
@@ -16,7 +16,7 @@
 	}
 	until := time.Duration(r.sendUntil.Load())
 	slog.Debug("sending request", "id", ids[0], "messages", len(ids), "endpoint", c.host.id, "list", r.listVersion.Load(),
-		"lease_left", until-r.now(), "decided", time.Since(c.startedAt))
+		"lease_left", until-r.now(), "decided", time.Since(c.startedAt), "unit", c.sends[0].Unit)
 }
 
 // outcomeNames are the outcomes of attempts as the log names them.
--- a/internal/relay/step.go
+++ b/internal/relay/step.go
@@ -59,12 +59,15 @@
 			r.armWake(now, action.After)
 		case choice.Health:
 			r.record(journal.Record{Op: journal.OpHealth, ID: action.Host, Flag: action.Unwell, Base: action.Base, At: steady.UnixMilli()})
+		case choice.UnitChange:
+			r.metrics.noteUnitChange(action)
 		case choice.Log:
 			slog.Info(action.Text)
 		}
 	}
 	r.flush()
 	r.acceptNew()
+	r.metrics.countSends(sends)
 	r.dispatch(sends)
 }
 
--- a/internal/wire/events.go
+++ b/internal/wire/events.go
@@ -74,6 +74,8 @@
 		fmt.Fprintf(s.out, "ARM\trelay-id=%s\twait=%s\ttag=0\n", name, seconds(a.After))
 	case choice.Subscribe:
 		fmt.Fprintf(s.out, "OBSERVE\trelay-id=%s\twant=1\n", name)
+	case choice.UnitChange:
+		fmt.Fprintf(s.out, "EMIT\trelay-id=%s\tnote-text=%s\n", name, a)
 	case choice.Log:
 		fmt.Fprintf(s.out, "EMIT\trelay-id=%s\tnote-text=%s\n", name, a.Text)
 	}
