Reproduce the cold return of a silent destination with real processes

The lab's outages refused connections; those of the records were silent. It has two more kinds: with "hang" endpoints take calls and execute and answer them after the outage, with "vanish" open connections stay silent until they break at its end and new ones never come up. An endpoint's queue can be set.

--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -49,7 +49,7 @@
 	run.spans = append(run.spans, Span{From: float64(began) / 1e6, Text: text})
 	run.mu.Unlock()
 	begin := history.Event{Kind: history.Fault, Detail: "begin", Text: text}
-	if f.To != "" {
+	if f.To != "" || f.Kind == string(platform.Vanishing) {
 		begin.State = history.Lossy
 	}
 	run.record(begin)
@@ -179,10 +179,11 @@
 		return nil
 	}
 	switch f.Kind {
-	case "outage":
+	case "outage", "hang", "vanish":
+		kind := platform.OutageKind(f.Kind)
 		for d := range dests {
-			run.partners.SetDown(d, true)
-			defer run.partners.SetDown(d, false)
+			run.partners.BeginOutage(d, kind)
+			defer run.partners.EndOutage(d, kind)
 		}
 	case "shut":
 		for d := range dests {
--- a/internal/lab/platform/admit.go
+++ b/internal/lab/platform/admit.go
@@ -17,6 +17,9 @@
 	if e.drained || d.collapsed || d.down {
 		return 503, 0
 	}
+	if d.hanging {
+		return 0, 0
+	}
 	if now.Before(d.shutUntil) {
 		return refuse(d.shutUntil.Sub(now))
 	}
--- a/internal/lab/platform/control.go
+++ b/internal/lab/platform/control.go
@@ -4,44 +4,8 @@
 	"time"
 
 	"larchrouter/internal/lab/history"
-	"larchrouter/internal/lab/link"
 )
 
-// SetDown starts or ends an outage of a destination. During an outage all its endpoints reset their connections and refuse new
-// ones. After it the destination is in slow start.
-func (p *Partners) SetDown(dest int, down bool) {
-	d := p.dests[dest]
-	d.mu.Lock()
-	d.down = down
-	kind := history.DestDown
-	if !down {
-		kind = history.DestUp
-		d.startCold(time.Now())
-	} else {
-		d.collapsed = false
-		for _, e := range d.endpoints {
-			for _, j := range e.waiting {
-				go j.done()
-			}
-			e.waiting = nil
-		}
-	}
-	d.mu.Unlock()
-	var f *link.Faults
-	if down {
-		f = &link.Faults{Refused: true}
-	}
-	for _, e := range d.endpoints {
-		for _, l := range p.Net.Links(func(string) bool { return true }, func(to string) bool { return to == e.name }) {
-			l.SetNamed("outage", f, nil)
-			if down {
-				l.Reset()
-			}
-		}
-	}
-	p.Record(history.Event{At: p.Clock.Now(), Kind: kind, Dest: dest, Detail: "outage"})
-}
-
 // RefuseFor has a destination refuse all calls for a time, after which it is in slow start.
 func (p *Partners) RefuseFor(dest int, length time.Duration) {
 	d := p.dests[dest]
--- a/internal/lab/platform/draw.go
+++ b/internal/lab/platform/draw.go
@@ -102,6 +102,9 @@
 		} else {
 			v.Kind, v.Wait, v.Tells, v.Spend = 1, uniform(r, 0.44, 2), uniform(r, 0.57, 0.98), true
 		}
+		if queue := time.Duration(s.Platform.Queue); queue > 0 {
+			v.Depth = queue.Seconds()
+		}
 		requiredRate := max(v.Rate, s.Load.Rate*v.Share*s.Load.Burst)
 		v.Capacity = requiredRate * uniform(r, 1.2, 1.5) / float64(s.Platform.Endpoints)
 		v.Listed = requiredRate * uniform(r, 0.67, 1.5)
--- a/internal/lab/platform/endpoint.go
+++ b/internal/lab/platform/endpoint.go
@@ -115,15 +115,20 @@
 		e.answer(j, status, wait)
 		return j.call
 	}
-	if e.busy < e.workers {
-		e.start(j)
-	} else {
-		e.waiting = append(e.waiting, j)
+	if e.waiting = append(e.waiting, j); e.busy < e.workers && !d.hanging {
+		e.startNext()
 	}
 	d.mu.Unlock()
 	return j.call
 }
 
+// startNext starts the call that waits longest. The destination's lock must be held.
+func (e *endpoint) startNext() {
+	next := e.waiting[0]
+	e.waiting = e.waiting[1:]
+	e.start(next)
+}
+
 // start starts to execute a call. The destination's lock must be held.
 func (e *endpoint) start(j *job) {
 	d := e.dest
@@ -138,10 +143,13 @@
 	now := time.Now()
 	d.mu.Lock()
 	e.busy--
+	if d.hanging { // it is executed anew after the outage, before those that came later
+		e.waiting = append([]*job{j}, e.waiting...)
+		d.mu.Unlock()
+		return
+	}
 	if len(e.waiting) > 0 && e.busy < e.workers {
-		next := e.waiting[0]
-		e.waiting = e.waiting[1:]
-		e.start(next)
+		e.startNext()
 	}
 	if d.down || d.collapsed { // the destination failed during the call
 		d.mu.Unlock()
--- a/internal/lab/platform/partner.go
+++ b/internal/lab/platform/partner.go
@@ -55,6 +55,7 @@
 	errorShare  float64   // share of calls that fail
 	slowFactor  float64   // factor by which calls take longer
 	down        bool      // an outage: no endpoint answers
+	hanging     bool      // an outage in which calls wait for its end
 	coldSince   time.Time // start of slow start; zero if there is none
 	collapsed   bool      // overloaded during slow start; it refuses all calls until an outage resets it
 	arrivals    []arrival // recent calls, during slow start
--- a/internal/lab/scenario/check.go
+++ b/internal/lab/scenario/check.go
@@ -57,6 +57,7 @@
 	checkRange("platform.endpoints", float64(s.Platform.Endpoints), 1, 100)
 	checkRange("platform.latency (seconds)", time.Duration(s.Platform.Latency).Seconds(), 0.001, 60)
 	checkRange("platform.limit", s.Platform.Limit, 0, 1e6)
+	checkRange("platform.queue (seconds)", time.Duration(s.Platform.Queue).Seconds(), 0, 60)
 	checkRange("platform.cold (seconds)", time.Duration(s.Platform.Cold).Seconds(), 0.1, 3600)
 	checkRange("load.rate", s.Load.Rate, 0, 1e5)
 	checkRange("load.burst", s.Load.Burst, 1, 100)
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -72,6 +72,7 @@
 	Endpoints    int      `toml:"endpoints"` // per destination
 	Latency      Duration `toml:"latency"`   // median of a call
 	Limit        float64  `toml:"limit"`     // calls per second that a destination accepts from all relays; 0 for no limit
+	Queue        Duration `toml:"queue"`     // calls that an endpoint queues, as the time in which it executes them when warm; 0 for a drawn one
 	Cold         Duration `toml:"cold"`      // warm-up time of a destination that recovers from an outage
 	Shared       bool     `toml:"shared"`    // all relays reach an endpoint at the same address and are identified by their source addresses
 }
@@ -134,7 +135,7 @@
 var (
 	linkFaultKinds      = []string{"cut", "drop", "delay", "slow", "reset", "halfopen", "refuse", "lateclose", "silence"}
 	processFaultKinds   = []string{"pause", "kill", "term", "upgrade", "lose", "rollback"}
-	endpointFaultKinds  = []string{"outage", "shut", "errors", "slow", "limit", "garble"}
+	endpointFaultKinds  = []string{"outage", "hang", "vanish", "shut", "errors", "slow", "limit", "garble"}
 	discoveryFaultKinds = []string{"outage", "late-list", "slow-notices", "slow-lists", "busy-lists", "cut-lists", "stalled-lists", "mute-lists"}
 	stepKinds           = []string{"settings", "list", "drain", "ban", "unban"}
 	// unsupportedSteps, like the expectations that are not measured, need grants and permits of the keepers, which do not
