Count an outage by how long a destination was not known to be well

What callers saw: a destination that came back after 18 s of silence was pushed over by the calls of relays that took it for healthy. It went down again, and messages for it were late, handed back or undeliverable.

Cause: recordServed took an outage for short, and the destination for healthy with no slow start, if no attempt had failed since (badStreak was 0), however long that was. Calls to a silent destination wait for all of a message's time where there are under 30 latencies, so 18 s pass without a failure; while two calls are out no trial goes. The first hung call that was answered after the return then let go all that waited. The same came of an answer to a call from before the outage: it was ignored as a sign of recovery, but renewed the time of the last answer that the length of the outage was counted from.

Change: wellUntil is the time up to which a unit is not known to have been out: the last answer that counts, or when the oldest unanswered call was sent. An outage is short if that is less than an overload window ago. It is handed over in upgrades; from a version that does not tell it, the start of the outage.

Evidence: the log of all relays in the reproduction, from suspect to healthy by answers of 12 to 13 s with bad_outcomes=0.

The class: the length of something worked out from events that may be missing.

--- a/choice/health.go
+++ b/choice/health.go
@@ -131,13 +131,14 @@
 	u.latencySec += (took.Seconds() - u.latencySec) / 8
 	warmUp := c.settings.Rules.WarmUp.Seconds()
 	u.servedRate = u.servedRate*exp(-(c.now-u.lastServed).Seconds()/warmUp) + 1/warmUp
-	shortOutage := u.badStreak == 0 || !u.sawErrors && c.now-u.lastServed < c.settings.Rules.OverloadWindow
+	shortOutage := !u.sawErrors && c.now-u.wellUntil < c.settings.Rules.OverloadWindow
 	answer := unitAnswer{took: took, servedBefore: u.lastServed, badOutcomes: u.badStreak}
 	u.lastServed = c.now
 	if u.state == Suspect && (c.now-took < u.connRefusedAt ||
 		c.now+c.settings.Rules.OverloadWindow < u.retryAfter) {
 		return // sent before the outage, or before a wait longer than a rate limit's: no sign of recovery
 	}
+	u.wellUntil = c.now
 	u.badStreak = 0
 	u.servedStreak++
 	u.recordOutcome(false)
@@ -166,7 +167,7 @@
 		for _, u := range d.units {
 			awaitsAnswer := u.state == Healthy && len(u.calls) > 0
 			if awaitsAnswer && c.now-max(u.calls[0].sentAt, u.lastServed) > c.silenceLimit(d) {
-				u.mayHaveRun = true
+				u.mayHaveRun, u.wellUntil = true, max(u.wellUntil, u.calls[0].sentAt)
 				c.markSuspect(u, d, ChangedBySilence)
 			}
 		}
--- a/choice/setup.go
+++ b/choice/setup.go
@@ -78,7 +78,8 @@
 		d.kind, d.retrySuccess = c.settings.Kinds[entry.Kind], &c.retrySuccess[entry.Kind]
 	}
 	if d.kind.SeparateRoutes || len(d.units) == 0 {
-		u := &unit{name: entry.Addr, createdAt: c.now - time.Second, lastServed: c.now - time.Second}
+		u := &unit{name: entry.Addr, createdAt: c.now - time.Second, lastServed: c.now - time.Second,
+			wellUntil: c.now - time.Second}
 		d.units = append(d.units, u)
 	}
 	h.unit = d.units[len(d.units)-1]
--- a/choice/snapshot.go
+++ b/choice/snapshot.go
@@ -51,7 +51,7 @@
 // UnitSnapshot is the state of a unit, identified by the address of one of its endpoints. Its
 // fields stand for these of unit: Wait is retryAfter, Pause pauseUntil, Trial trialAt, Recent
 // recentFailures, Streak servedStreak, Trials failedTrials, Bad badStreak, Errors sawErrors, Risky
-// mayHaveRun, Pace latencySec, Listed knownRate, Limit pace, Cut paceCutAt and Down connRefusedAt.
+// mayHaveRun, Pace latencySec, Listed knownRate, Limit pace, Cut paceCutAt, Down connRefusedAt and Well wellUntil.
 type UnitSnapshot struct {
 	Host                                      string
 	State                                     int
@@ -61,7 +61,7 @@
 	Errors, Risky                             bool
 	Sends                                     []time.Duration
 	Pace, Served, Base, Listed, Limit, Tokens float64
-	Cut, Down                                 time.Duration
+	Cut, Down, Well                           time.Duration
 }
 
 // HostSnapshot is the state of one endpoint.
@@ -130,7 +130,7 @@
 					Trials: u.failedTrials, Bad: u.badStreak, Errors: u.sawErrors, Risky: u.mayHaveRun,
 					Sends: timesAgo(now, u.recentSends), Pace: u.latencySec, Served: u.servedRate,
 					Base: u.baseRate, Listed: u.knownRate, Limit: u.pace, Tokens: u.tokens, Cut: now - u.paceCutAt,
-					Down: now - u.connRefusedAt})
+					Down: now - u.connRefusedAt, Well: now - u.wellUntil})
 		}
 		for _, h := range d.hosts {
 			snapshot.Hosts = append(snapshot.Hosts, HostSnapshot{h.Addr, h.failures, h.retryAt - now, h.preference,
@@ -159,6 +159,9 @@
 	}
 	for _, saved := range snapshot.Units {
 		h := c.hosts[saved.Host]
+		if saved.State != int(Healthy) { // an older process doesn't tell Well
+			saved.Well = max(saved.Well, saved.Since)
+		}
 		if h == nil || saved.State < int(Healthy) || saved.State > int(Recovering) {
 			continue
 		}
@@ -168,7 +171,7 @@
 			retryAfter: c.now + saved.Wait, pauseUntil: c.now + saved.Pause,
 			recentFailures: saved.Recent, servedStreak: saved.Streak, sawErrors: saved.Errors,
 			mayHaveRun: saved.Risky, trialAt: c.now + saved.Trial, failedTrials: saved.Trials,
-			badStreak: saved.Bad, lastServed: c.now - saved.LastServed,
+			badStreak: saved.Bad, lastServed: c.now - saved.LastServed, wellUntil: c.now - saved.Well,
 			recentSends: timesAgo(c.now, saved.Sends), latencySec: saved.Pace,
 			servedRate: saved.Served, baseRate: saved.Base, pace: saved.Limit, paceAt: c.now,
 			paceCutAt: c.now - saved.Cut, connRefusedAt: c.now - saved.Down, tokens: saved.Tokens}
--- a/choice/state.go
+++ b/choice/state.go
@@ -80,6 +80,7 @@
 	badStreak      int           // failures and refusals since the last attempt served
 	connRefusedAt  time.Duration // when it last refused a connection
 	lastServed     time.Duration // time of the last attempt served; initially createdAt
+	wellUntil      time.Duration // time up to which it is not known to have been out
 	calls          []*call
 	recentSends    []time.Duration // send times of the calls within WarmUp, at least within a second
 	latencySec     float64         // smoothed latency in seconds
