Count failures of several endpoints although another one was not tried

Cause: a failure counted against its endpoint alone while another one of the destination had not failed, which is so as long as it was never called. Which endpoint a relay prefers is drawn once, so it went back to the same two and used up eight attempts of a message there. It had been told of the outage, saw none, and sent all that came as the destination returned.

Change: once two endpoints fail and none has answered since, the failures count for the destination (mayWork).

Evidence: a play of 60 relays printed call by call: eight refused connections at h1 and h2 of four endpoints, no change of state, then calls as usual after the return.

The class: no news taken for good news.

--- a/choice/health.go
+++ b/choice/health.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"math"
 	"math/bits"
-	"slices"
 	"time"
 )
 
@@ -20,15 +19,15 @@
 	}
 }
 
-// recordFailure handles a failed attempt. While another host of the unit works, the failure counts
+// recordFailure handles a failed attempt. While another host of the unit may work, the failure counts
 // against its host alone, which is one machine or building.
 func (c *Chooser) recordFailure(h *host, outcome Outcome) {
 	u, d := h.unit, h.dest
 	h.failures++
+	h.failedAt = c.now
 	h.retryAt = c.now + min(c.settings.Rules.OverloadWindow/8<<min(h.failures, 3),
 		c.settings.Rules.OverloadWindow/3)
-	working := func(other *host) bool { return other.unit == u && c.usable(other) && other.failures == 0 }
-	if slices.ContainsFunc(d.hosts, working) {
+	if c.mayWork(u, d) {
 		return
 	}
 	c.recordBadOutcome(u)
@@ -43,6 +42,22 @@
 	}
 }
 
+// mayWork reports whether some host of a unit may work although others fail. A host that has not
+// failed proves nothing once several others have, and none has answered since.
+func (c *Chooser) mayWork(u *unit, d *dest) bool {
+	failing, notFailing := 0, 0
+	for _, h := range d.hosts {
+		switch {
+		case h.unit != u || !c.usable(h):
+		case h.failures == 0:
+			notFailing++
+		case h.failedAt > u.lastServed:
+			failing++
+		}
+	}
+	return notFailing > 0 && failing < outageFailures
+}
+
 // trialDelay returns the time until the next trial of a suspect unit, drawn at random. It doubles
 // with each failed trial, up to a third of the overload window or, if that is longer, to the delay
 // at which the trials of all relays stay within the budget of a unit that has just returned; in a
--- a/choice/outage_test.go
+++ b/choice/outage_test.go
@@ -120,3 +120,30 @@
 		t.Errorf("state %d after an answer from before the outage, want the outage to last", u.state)
 	}
 }
+
+// TestFailuresOfSeveralEndpointsAreAnOutage guards against a relay that calls a destination seldom and
+// goes on for as long as one of its endpoints was not tried: it used up a message's attempts at two
+// endpoints of four, and took the destination for healthy when that came back cold.
+func TestFailuresOfSeveralEndpointsAreAnOutage(t *testing.T) {
+	s := settings()
+	s.Fleet, s.MaxAttempts = 40, 8
+	var hosts []Host
+	for _, addr := range []string{"a", "b", "c", "d"} {
+		h := ready(addr, 1, 0, 0)
+		h.Rate = 4
+		hosts = append(hosts, h)
+	}
+	r := newHarness(t, s, hosts...)
+	r.now += 3 * time.Second
+	u, calls := r.chooser.hosts["a"].unit, 0
+	sent := sends(r.step(arrival("m", 0)))
+	for end := r.now + 8*time.Second; u.state == Healthy && r.now < end; sent = sends(r.advance(20 * ms)) {
+		for _, s := range sent {
+			calls++
+			r.step(r.result(s.ID, s.Host, NoConnection))
+		}
+	}
+	if u.state != Suspect || calls != outageFailures {
+		t.Errorf("%v after %d failed calls, want an outage after %d", u.state, calls, outageFailures)
+	}
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -54,6 +54,7 @@
 	inFlight    int
 	preference  float64         // random, so that relays prefer different hosts
 	failures    int             // in a row
+	failedAt    time.Duration   // time of the last failure
 	retryAt     time.Duration   // earliest time of use at no extra cost after failures
 	pauseUntil  time.Duration   // no calls before this time, after a refusal that suggests that it drains
 	recentSends []time.Duration // send times while it is cold after operators enabled it
