Count silence from the oldest call without an answer, also once it timed out

Cause: a unit is suspect once its oldest call in flight has had no answer for the silence limit. A call that timed out before that neither counted as a failure nor as silence, and the next one started the silence anew. With a time-out below the limit an outage was not found until the doubling of time-outs had passed the limit; what a process had seen by then was on no record, and the next one began as if the destination were well.

Change: silence counts from the oldest call since the last answer, in flight or timed out.

The class: a clock that each new event restarts.

--- a/choice/answers.go
+++ b/choice/answers.go
@@ -70,6 +70,7 @@
 		d.latencies.addCutShort()
 		if u.lastServed < sentCall.sentAt {
 			d.timeoutStreak++
+			u.recordTimeOut(sentCall.sentAt)
 			if e.Took >= c.silenceLimit(d) {
 				c.recordFailure(h, e.Outcome)
 			}
--- a/choice/health.go
+++ b/choice/health.go
@@ -148,7 +148,7 @@
 	u.servedRate = u.servedRate*exp(-(c.now-u.lastServed).Seconds()/warmUp) + 1/warmUp
 	shortOutage := !u.sawErrors && c.now-u.wellUntil < c.settings.Rules.OverloadWindow
 	answer := unitAnswer{took: took, servedBefore: u.lastServed, badOutcomes: u.badStreak}
-	u.lastServed = c.now
+	u.lastServed, u.timedOut = c.now, false
 	if u.state == Suspect && (c.now-took < u.connRefusedAt ||
 		c.now+c.settings.Rules.OverloadWindow < u.retryAfter) {
 		return // sent before the outage, or before a wait longer than a rate limit's: no sign of recovery
@@ -180,15 +180,29 @@
 func (c *Chooser) suspectSilent() {
 	for d := range c.calledDests {
 		for _, u := range d.units {
-			awaitsAnswer := u.state == Healthy && len(u.calls) > 0
-			if awaitsAnswer && c.now-max(u.calls[0].sentAt, u.lastServed) > c.silenceLimit(d) {
-				u.mayHaveRun, u.wellUntil = true, max(u.wellUntil, u.calls[0].sentAt)
+			if u.state != Healthy || len(u.calls) == 0 {
+				continue
+			}
+			silentSince := u.calls[0].sentAt
+			if u.timedOut { // the oldest call without an answer has ended
+				silentSince = min(silentSince, u.timedOutSince)
+			}
+			if c.now-max(silentSince, u.lastServed) > c.silenceLimit(d) {
+				u.mayHaveRun, u.wellUntil = true, max(u.wellUntil, silentSince)
 				c.markSuspect(u, d, ChangedBySilence)
 			}
 		}
 	}
 }
 
+// recordTimeOut notes a call that ended without an answer, while the unit has answered no later one.
+func (u *unit) recordTimeOut(sentAt time.Duration) {
+	if !u.timedOut {
+		u.timedOut, u.timedOutSince = true, sentAt
+	}
+	u.timedOutSince = min(u.timedOutSince, sentAt)
+}
+
 // canCall reports whether a call may be sent to a unit now.
 func (c *Chooser) canCall(u *unit) bool {
 	if c.now < u.retryAfter || c.now < u.pauseUntil {
--- a/choice/silent_outage_test.go
+++ b/choice/silent_outage_test.go
@@ -88,3 +88,25 @@
 		}
 	}
 }
+
+// TestTimeOutsDoNotRestartSilence guards against an outage that is found late, or not before a restart,
+// because time-outs shorter than the silence that makes an outage start that silence anew.
+func TestTimeOutsDoNotRestartSilence(t *testing.T) {
+	r := newHarness(t, settings(), ready("a", 1, 0, 0))
+	u, limit := r.chooser.hosts["a"].unit, r.chooser.silenceLimit(r.chooser.dests[1])
+	silentSince, timeout := r.now, limit*3/5
+	sent := sends(r.step(arrival("m", 0)))
+	for end := r.now + 10*limit; u.state == Healthy && r.now < end; {
+		if len(sent) == 0 {
+			sent = sends(r.advance(5 * ms))
+			continue
+		}
+		actions := r.advance(timeout)
+		if u.state == Healthy {
+			sent = sends(append(actions, r.step(r.result(sent[0].ID, "a", Timeout, func(e *Result) { e.Took = timeout }))...))
+		}
+	}
+	if silence := r.now - silentSince; u.state != Suspect || silence > limit+timeout {
+		t.Errorf("%v after a silence of %v, want an outage after %v", u.state, silence, limit)
+	}
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -82,6 +82,8 @@
 	connRefusedAt  time.Duration // when it last refused a connection
 	lastServed     time.Duration // time of the last attempt served; initially createdAt
 	wellUntil      time.Duration // time up to which it is not known to have been out
+	timedOut       bool          // calls have ended without an answer since lastServed
+	timedOutSince  time.Duration // when the oldest of them was sent
 	calls          []*call
 	recentSends    []time.Duration // send times of the calls within WarmUp, at least within a second
 	latencySec     float64         // smoothed latency in seconds
