--- a/choice/outage_test.go
+++ b/choice/outage_test.go
@@ -147,3 +147,20 @@
 		t.Errorf("%v after %d failed calls, want an outage after %d", u.state, calls, outageFailures)
 	}
 }
+
+// TestWarmUpNeedsAnswers guards against a destination that is taken for warm because the time to warm
+// up has passed since one answer, though it gave no other answer in that time: it was still out, or
+// out again.
+func TestWarmUpNeedsAnswers(t *testing.T) {
+	for gap, want := range map[time.Duration]UnitState{2100 * ms: Recovering, 1500 * ms: Healthy} {
+		r := newHarness(t, settings(), ready("a", 1, 0, 0))
+		u, warmUp := r.chooser.hosts["a"].unit, r.chooser.settings.Rules.WarmUp
+		u.state, u.stateSince, u.lastServed = Recovering, r.now-warmUp, r.now-gap
+		for _, s := range sends(r.step(arrival("m", 0))) {
+			r.step(r.result(s.ID, "a", Served))
+		}
+		if u.state != want {
+			t.Errorf("%v at an answer that comes %v after the one before, want %v", u.state, gap, want)
+		}
+	}
+}
