--- a/internal/lab/soak_test.go
+++ b/internal/lab/soak_test.go
@@ -62,6 +62,11 @@
 			fault(at, "for = \"%dms\"\nkind = \"outage\"\nfrom = \"endpoints:dest=%d\"", length, dest)
 		}
 	}
+	// In some runs a destination falls silent and returns cold.
+	if silentDraws := rand.New(rand.NewPCG(seed, 0x50a3)); silentDraws.IntN(2) == 0 {
+		fault(1+6*silentDraws.Float64(), "for = \"%dms\"\nkind = %q\nfrom = \"endpoints:dest=%d\"", 3000+silentDraws.IntN(5000),
+			[]string{"hang", "vanish"}[silentDraws.IntN(2)], silentDraws.IntN(3))
+	}
 	// Series of signals: one relay after the other, some of them twice within a short time.
 	at := 1 + 2*r.Float64()
 	for i := range r.Perm(relays)[:min(relays, 2+r.IntN(3))] {
