Draw when relays with small shares make their first call

Cause: where a relay's share is less than a call in a window, it may call once a whole call has accrued since its last one, and the time of an outage counts. After a silent outage the calls that waited are answered at all relays within half a second, so all began their slow start together and called at once.

Change: a relay that could call at once at the beginning of its slow start draws how much of a call it has left (spreadFirstCall), as after a return by hand.

Fails before: TestRelaysAnsweredTogetherDoNotCallTogether (31 calls in a window where 30.2 are tolerated, 31 of 30.6, 22 of 21.8).

--- a/choice/coldfleet_test.go
+++ b/choice/coldfleet_test.go
@@ -143,3 +143,16 @@
 	p.restartAfter = time.Duration((r.Float64()*1.3 - 0.1) * float64(p.outageSpan))
 	return p
 }
+
+// TestRelaysAnsweredTogetherDoNotCallTogether guards against a large fleet whose relays, each with a
+// share of less than one call in a window, all make their first call as the destination returns: the
+// calls that waited through the outage are answered then, at all relays at once.
+func TestRelaysAnsweredTogetherDoNotCallTogether(t *testing.T) {
+	for _, seed := range []uint64{500, 1697, 1814} {
+		p := randomColdFleet(seed)
+		if calls, told, bound, fell := p.play(t).firstFall(); p.kind != callsAnsweredLate || fell && told > toldShare*calls {
+			t.Errorf("seed %d, %v: %.0f calls in a window, %.0f of them by relays that had been told, with %.1f tolerated",
+				seed, p.kind, calls, told, bound)
+		}
+	}
+}
--- a/choice/health.go
+++ b/choice/health.go
@@ -167,6 +167,7 @@
 	case u.state == Suspect:
 		c.changeStateByAnswer(u, d, Recovering, ChangedByAnswer, answer)
 		u.recentFailures = 0
+		c.spreadFirstCall(u)
 	case u.state == Recovering && !c.seldomCalls(u) && c.now-answer.servedBefore > c.settings.Rules.OverloadWindow:
 		u.stateSince = c.now // it may have been out since the answer before
 	case u.state == Recovering && c.now-u.stateSince >= c.settings.Rules.WarmUp:
--- a/choice/manual.go
+++ b/choice/manual.go
@@ -97,6 +97,20 @@
 	return (sum-sumAtLast)*share >= c.countWithin(sends, c.now-last)
 }
 
+// spreadFirstCall draws when a relay whose share is less than one call in a window makes its first call
+// after a return, if it could make that at once. The relays whose calls waited through the outage are
+// all answered at the return, and would make their first calls together.
+func (c *Chooser) spreadFirstCall(u *unit) {
+	window, _ := c.coldBudget(u, 0)
+	if window >= 1 || len(u.recentSends) == 0 {
+		return
+	}
+	callInterval := time.Duration(float64(c.settings.Rules.OverloadWindow) / window)
+	if c.now-u.recentSends[len(u.recentSends)-1] >= callInterval {
+		u.recentSends = []time.Duration{c.now - time.Duration(c.rand.Float64()*float64(callInterval))}
+	}
+}
+
 // coldBudget returns this relay's share of the calls that the rules allow in an overload window at
 // a time after a return, and in all from the return to then. Before the return it is the budget of
 // the window just after it.
