Draw the first call of a slow start with the code for returns by hand

spreadFirstCall worked out anew when a part of a call had accrued, which assumedSends did for endpoints that operators give back. Both call timeOfUnused now. The time since the last answer stood twice in recordServed.

--- a/choice/health.go
+++ b/choice/health.go
@@ -147,8 +147,7 @@
 	warmUp := c.settings.Rules.WarmUp.Seconds()
 	u.servedRate = u.servedRate*exp(-(c.now-u.lastServed).Seconds()/warmUp) + 1/warmUp
 	shortOutage := !u.sawErrors && c.now-u.wellUntil < c.settings.Rules.OverloadWindow
-	answer := unitAnswer{took: took, servedBefore: u.lastServed, badOutcomes: u.badStreak}
-	sinceServed := c.now - u.lastServed
+	answer := unitAnswer{took: took, sinceServed: c.now - u.lastServed, badOutcomes: u.badStreak}
 	u.lastServed, u.timedOut = c.now, false
 	if u.state == Suspect && (c.now-took < u.connRefusedAt ||
 		c.now+c.settings.Rules.OverloadWindow < u.retryAfter) {
@@ -169,7 +168,7 @@
 		c.changeStateByAnswer(u, d, Recovering, ChangedByAnswer, answer)
 		u.recentFailures = 0
 		c.spreadFirstCall(u)
-	case u.state == Recovering && !c.seldomCalls(u) && sinceServed > c.settings.Rules.OverloadWindow:
+	case u.state == Recovering && !c.seldomCalls(u) && answer.sinceServed > c.settings.Rules.OverloadWindow:
 		u.stateSince = c.now // it may have been out since the answer before
 	case u.state == Recovering && c.now-u.stateSince >= c.settings.Rules.WarmUp:
 		c.changeStateByAnswer(u, d, Healthy, ChangedByWarmUp, answer)
--- a/choice/manual.go
+++ b/choice/manual.go
@@ -71,17 +71,23 @@
 // returned before this relay started, a whole window counts as used up. Of a share of less than one
 // call, a random part counts as used, so that relays don't call together.
 func (c *Chooser) assumedSends(h *host, sinceReturn time.Duration) []time.Duration {
-	window, sumNow := c.coldBudget(h.unit, sinceReturn)
+	window, _ := c.coldBudget(h.unit, sinceReturn)
 	started := h.unit.createdAt + time.Second
 	if window*h.unitShare() >= 1 && c.now-sinceReturn < started {
 		return slices.Repeat([]time.Duration{started}, int(window*h.unitShare())+1)
 	}
-	sinceLast, unused := time.Duration(0), c.rand.Float64()*max(window, 1/h.unitShare())
-	for range 8 { // Newton's method: when the budget's sum was less by the unused part
-		window, sumBefore := c.coldBudget(h.unit, sinceReturn-sinceLast)
+	return []time.Duration{c.timeOfUnused(h.unit, sinceReturn, c.rand.Float64()*max(window, 1/h.unitShare()))}
+}
+
+// timeOfUnused returns when the sum of a unit's budget was less than now by the given number of calls.
+func (c *Chooser) timeOfUnused(u *unit, sinceReturn time.Duration, unused float64) time.Duration {
+	_, sumNow := c.coldBudget(u, sinceReturn)
+	sinceLast := time.Duration(0)
+	for range 8 { // Newton's method
+		window, sumBefore := c.coldBudget(u, sinceReturn-sinceLast)
 		sinceLast += time.Duration((unused - sumNow + sumBefore) / window * float64(c.settings.Rules.OverloadWindow))
 	}
-	return []time.Duration{c.now - sinceLast}
+	return c.now - sinceLast
 }
 
 // withinBudget reports whether one more call stays within a share of the budget of a unit or host
@@ -105,9 +111,8 @@
 	if window >= 1 || len(u.recentSends) == 0 {
 		return
 	}
-	callInterval := time.Duration(float64(c.settings.Rules.OverloadWindow) / window)
-	if c.now-u.recentSends[len(u.recentSends)-1] >= callInterval {
-		u.recentSends = []time.Duration{c.now - time.Duration(c.rand.Float64()*float64(callInterval))}
+	if u.recentSends[len(u.recentSends)-1] <= c.timeOfUnused(u, 0, 1) {
+		u.recentSends = []time.Duration{c.timeOfUnused(u, 0, c.rand.Float64())}
 	}
 }
 
--- a/choice/unitstate.go
+++ b/choice/unitstate.go
@@ -89,21 +89,21 @@
 
 // changeState moves a unit to another state, and emits the change.
 func (c *Chooser) changeState(u *unit, d *dest, to UnitState, reason ChangeReason) {
-	c.changeStateByAnswer(u, d, to, reason, unitAnswer{servedBefore: u.lastServed, badOutcomes: u.badStreak})
+	c.changeStateByAnswer(u, d, to, reason, unitAnswer{sinceServed: c.now - u.lastServed, badOutcomes: u.badStreak})
 }
 
 // unitAnswer is an answer that changes the state of a unit, with what was known before it.
 type unitAnswer struct {
-	took         time.Duration
-	servedBefore time.Duration // unit.lastServed before the answer
-	badOutcomes  int           // unit.badStreak before the answer
+	took        time.Duration
+	sinceServed time.Duration // since the answer before
+	badOutcomes int           // unit.badStreak before the answer
 }
 
 // changeStateByAnswer is changeState for a change that an answer leads to.
 func (c *Chooser) changeStateByAnswer(u *unit, d *dest, to UnitState, reason ChangeReason, answer unitAnswer) {
 	budget, _ := c.coldBudget(u, 0)
 	change := UnitChange{Dest: d.id, Unit: u.name, From: u.state, To: to, Reason: reason, InState: c.now - u.stateSince,
-		SinceServed: c.now - answer.servedBefore, BadOutcomes: answer.badOutcomes, CallsInFlight: len(u.calls),
+		SinceServed: answer.sinceServed, BadOutcomes: answer.badOutcomes, CallsInFlight: len(u.calls),
 		AnswerTook: answer.took, RecentCalls: int(c.countWithin(u.recentSends, c.settings.Rules.OverloadWindow)),
 		ColdBudget: budget}
 	if len(u.calls) > 0 {
