--- a/choice/coldfleet_rig_test.go
+++ b/choice/coldfleet_rig_test.go
@@ -31,17 +31,17 @@
 
 // coldFleet is a fleet of Choosers whose destination has one outage and returns cold.
 type coldFleet struct {
-	relays, endpoints, workers, perCall int
-	rate                                float64 // the destination's capacity and its listed rate, in calls per second
-	load                                float64 // arrivals before and during the outage, as a multiple of the rate
-	loadAfter                           float64 // arrivals after the return
-	skew                                float64 // of the relays' traffic; 0 for equal traffic
-	kind                                outageKind
-	healthySpan, outageSpan             time.Duration
-	restartPercent                      int           // percentage of the relays that restart
-	restartAfter                        time.Duration // time of the restarts after the start of the outage
-	effect                              Effect
-	seed                                uint64
+	relays, endpoints, workers int
+	rate                       float64 // the destination's capacity and its listed rate, in calls per second
+	load                       float64 // arrivals before and during the outage, as a multiple of the rate
+	loadAfter                  float64 // arrivals after the return
+	skew                       float64 // of the relays' traffic; 0 for equal traffic
+	kind                       outageKind
+	healthySpan, outageSpan    time.Duration
+	restartPercent             int           // percentage of the relays that restart
+	restartAfter               time.Duration // time of the restarts after the start of the outage
+	effect                     Effect
+	seed                       uint64
 }
 
 // String has all that a play needs to be repeated.
@@ -60,7 +60,7 @@
 func (p coldFleet) settings(index int) Settings {
 	s := settings()
 	s.Index, s.Fleet, s.Workers, s.MaxPending, s.MaxAttempts, s.Tick = index, p.relays, p.workers, 0, 8, 5*ms
-	s.Kinds, s.WorthHalves = []Kind{{PerCall: max(1, p.perCall)}}, true
+	s.Kinds, s.WorthHalves = []Kind{{PerCall: 1}}, true
 	s.Rules.OverloadWindow, s.Rules.WarmUp, s.Rules.ColdShare, s.Rules.OverloadFactor = 2*time.Second,
 		12*time.Second, 0.29, 1.5
 	s.Classes = []Class{{Name: "order-msg", Aim: 3 * time.Second, Deadline: coldFleetDeadline, Worth: 1,
@@ -190,7 +190,6 @@
 	if len(events) == 0 {
 		return
 	}
-	var calls []*call
 	for _, a := range relay.chooser.Step(now, events) {
 		switch a := a.(type) {
 		case Wake:
@@ -204,9 +203,7 @@
 		case Health:
 			s.recordHealth(relay, a, now)
 		case Send:
-			first := !slices.Contains(calls, relay.chooser.messages[a.ID].call)
-			calls = append(calls, relay.chooser.messages[a.ID].call)
-			s.send(relay, a, now, first)
+			s.send(relay, a, now)
 		}
 	}
 }
--- a/choice/coldfleet_test.go
+++ b/choice/coldfleet_test.go
@@ -27,8 +27,8 @@
 }
 
 // send schedules the result of a message's call. A call that has not ended as the outage begins fares like one that begins in it.
-func (s *coldFleetPlay) send(relay *coldFleetRelay, a Send, now time.Duration, firstOfCall bool) {
-	if now >= s.returnedAt && firstOfCall {
+func (s *coldFleetPlay) send(relay *coldFleetRelay, a Send, now time.Duration) {
+	if now >= s.returnedAt {
 		s.calls = append(s.calls, coldCall{now, relay.told})
 	}
 	result := Result{ID: a.ID, Host: a.Host, Outcome: Served, Took: time.Duration(s.random.ExpFloat64() * float64(250*ms))}
@@ -133,7 +133,7 @@
 
 func randomColdFleet(seed uint64) coldFleet {
 	r := rand.New(rand.NewPCG(seed, 0xf1ee7))
-	p := coldFleet{relays: oneOf(r, 1, 2, 3, 3, 4, 6, 12, 20, 30, 60), endpoints: 1 + r.IntN(4), perCall: 1,
+	p := coldFleet{relays: oneOf(r, 1, 2, 3, 3, 4, 6, 12, 20, 30, 60), endpoints: 1 + r.IntN(4),
 		rate: math.Exp(math.Log(2) + r.Float64()*math.Log(40)), load: 0.3 + r.Float64(), skew: float64(r.IntN(2)),
 		kind: outageKind(r.IntN(int(outageKindCount))), healthySpan: time.Duration(2+r.IntN(30)) * time.Second,
 		outageSpan: 3*time.Second + time.Duration(r.Float64()*20*float64(time.Second)), effect: Effect(r.IntN(3)), seed: seed}
