--- a/internal/lab/platform/admit.go
+++ b/internal/lab/platform/admit.go
@@ -14,10 +14,10 @@
 		}
 		return 503, 0
 	}
-	if e.drained || d.collapsed || d.down {
+	if e.drained || d.collapsed || d.outage == Refusing {
 		return 503, 0
 	}
-	if d.hanging {
+	if d.outage == Hanging {
 		return 0, 0
 	}
 	if now.Before(d.shutUntil) {
--- a/internal/lab/platform/endpoint.go
+++ b/internal/lab/platform/endpoint.go
@@ -115,7 +115,7 @@
 		e.answer(j, status, wait)
 		return j.call
 	}
-	if e.waiting = append(e.waiting, j); e.busy < e.workers && !d.hanging {
+	if e.waiting = append(e.waiting, j); e.busy < e.workers && d.outage != Hanging {
 		e.startNext()
 	}
 	d.mu.Unlock()
@@ -143,7 +143,7 @@
 	now := time.Now()
 	d.mu.Lock()
 	e.busy--
-	if d.hanging { // it is executed anew after the outage, before those that came later
+	if d.outage == Hanging { // it is executed anew after the outage, before those that came later
 		e.waiting = append([]*job{j}, e.waiting...)
 		d.mu.Unlock()
 		return
@@ -151,7 +151,7 @@
 	if len(e.waiting) > 0 && e.busy < e.workers {
 		e.startNext()
 	}
-	if d.down || d.collapsed { // the destination failed during the call
+	if d.outage == Refusing || d.collapsed { // the destination failed during the call
 		d.mu.Unlock()
 		j.done()
 		return
--- a/internal/lab/platform/outage.go
+++ b/internal/lab/platform/outage.go
@@ -14,6 +14,7 @@
 
 // The kinds of outage, as a scenario names them.
 const (
+	noOutage  OutageKind = ""
 	Refusing  OutageKind = "outage" // they reset their connections and refuse new ones
 	Hanging   OutageKind = "hang"   // they accept connections and calls, but execute and answer them only after the outage
 	Vanishing OutageKind = "vanish" // their open connections stay silent until they break at the end, and new ones never come up
@@ -23,7 +24,7 @@
 func (p *Partners) BeginOutage(dest int, kind OutageKind) {
 	d := p.dests[dest]
 	d.mu.Lock()
-	d.collapsed, d.down, d.hanging = false, kind == Refusing, kind == Hanging
+	d.collapsed, d.outage = false, kind
 	if kind == Refusing {
 		for _, e := range d.endpoints {
 			for _, j := range e.waiting {
@@ -50,7 +51,7 @@
 		p.resetConnections(d)
 	}
 	d.mu.Lock()
-	d.down, d.hanging = false, false
+	d.outage = noOutage
 	d.startCold(time.Now())
 	for _, e := range d.endpoints {
 		for e.busy < e.workers && len(e.waiting) > 0 {
--- a/internal/lab/platform/partner.go
+++ b/internal/lab/platform/partner.go
@@ -47,18 +47,17 @@
 	mu          sync.Mutex
 	rand        *rand.Rand
 	endpoints   []*endpoint
-	tokens      float64   // calls in the token bucket
-	tokensAt    time.Time // when tokens was last updated
-	windowStart time.Time // start of the current fixed window
-	windowCalls float64   // calls counted in the current fixed window
-	shutUntil   time.Time // time until which it refuses all calls
-	errorShare  float64   // share of calls that fail
-	slowFactor  float64   // factor by which calls take longer
-	down        bool      // an outage: no endpoint answers
-	hanging     bool      // an outage in which calls wait for its end
-	coldSince   time.Time // start of slow start; zero if there is none
-	collapsed   bool      // overloaded during slow start; it refuses all calls until an outage resets it
-	arrivals    []arrival // recent calls, during slow start
+	tokens      float64    // calls in the token bucket
+	tokensAt    time.Time  // when tokens was last updated
+	windowStart time.Time  // start of the current fixed window
+	windowCalls float64    // calls counted in the current fixed window
+	shutUntil   time.Time  // time until which it refuses all calls
+	errorShare  float64    // share of calls that fail
+	slowFactor  float64    // factor by which calls take longer
+	outage      OutageKind // what the endpoints do in an outage; noOutage for none
+	coldSince   time.Time  // start of slow start; zero if there is none
+	collapsed   bool       // overloaded during slow start; it refuses all calls until an outage resets it
+	arrivals    []arrival  // recent calls, during slow start
 }
 
 // NewPartners creates the destinations of a draw, with their endpoints.
--- a/internal/lab/platform/slowstart.go
+++ b/internal/lab/platform/slowstart.go
@@ -35,7 +35,7 @@
 // many. The bound does not depend on which relays send the calls or how many relays there are. The destination's lock must be
 // held.
 func (d *destination) countArrival(relay string, now time.Time) {
-	if d.coldSince.IsZero() || d.collapsed || d.down || d.hanging {
+	if d.coldSince.IsZero() || d.collapsed || d.outage != noOutage {
 		return
 	}
 	if d.warmShare(now) >= 1 {
