Tests: addresses that stay free until a server listens on them

Cause: the tests took a port that the kernel chose on 127.0.0.1, closed it, and let a server listen on it later.

It replaces the four copies of the old draw (keeper, its cost test, the relay's process tests, framing).

No test's check or bound changed.

--- a/internal/framing/servers_test.go
+++ b/internal/framing/servers_test.go
@@ -8,18 +8,10 @@
 	"testing"
 
 	"larchrouter/internal/keeper"
+	"larchrouter/internal/loopback"
 	"larchrouter/internal/replication"
 )
 
-func localListener(t *testing.T) net.Listener {
-	t.Helper()
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	return listener
-}
-
 // startReplicaServer starts a replica server and returns its address.
 func startReplicaServer(t *testing.T) string {
 	t.Helper()
@@ -27,7 +19,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	listener := localListener(t)
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
 	server.Serve(listener)
 	t.Cleanup(server.Close)
 	return listener.Addr().String()
@@ -36,11 +31,8 @@
 // startKeeper starts a keeper that is alone and returns its address.
 func startKeeper(t *testing.T) string {
 	t.Helper()
-	calls, raft := localListener(t), localListener(t)
-	calls.Close()
-	raft.Close()
 	config := keeper.Default()
-	config.Name, config.HTTP, config.Raft, config.Dir = "keeper/0", calls.Addr().String(), raft.Addr().String(), t.TempDir()
+	config.Name, config.HTTP, config.Raft, config.Dir = "keeper/0", loopback.FreeAddress(t), loopback.FreeAddress(t), t.TempDir()
 	config.Peers = []keeper.Peer{{Name: config.Name, HTTP: config.HTTP, Raft: config.Raft}}
 	k, err := keeper.New(config)
 	if err != nil {
--- a/internal/keeper/cost_test.go
+++ b/internal/keeper/cost_test.go
@@ -16,6 +16,7 @@
 
 	"larchrouter/internal/fleet"
 	"larchrouter/internal/keeper/api"
+	"larchrouter/internal/loopback"
 	"larchrouter/internal/settings"
 )
 
@@ -54,17 +55,9 @@
 	previousLogger := slog.Default()
 	slog.SetDefault(slog.New(slog.DiscardHandler))
 	pool := &memberPool{}
-	freeAddress := func() string {
-		l, err := net.Listen("tcp4", "127.0.0.1:0")
-		if err != nil {
-			b.Fatal(err)
-		}
-		defer l.Close()
-		return l.Addr().String()
-	}
 	var peers []Peer
 	for i := range keepers {
-		peers = append(peers, Peer{fmt.Sprint("keeper/", i), freeAddress(), freeAddress()})
+		peers = append(peers, Peer{fmt.Sprint("keeper/", i), loopback.FreeAddress(b), loopback.FreeAddress(b)})
 	}
 	var addrs []string
 	for _, p := range peers {
--- a/internal/keeper/keeper_test.go
+++ b/internal/keeper/keeper_test.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -18,6 +17,7 @@
 	"pgregory.net/rapid"
 
 	"larchrouter/internal/keeper/api"
+	"larchrouter/internal/loopback"
 )
 
 // testSettings is a document that passes all checks; %d is the largest number of attempts.
@@ -32,16 +32,6 @@
 
 func testDocument(attempts int) json.RawMessage { return fmt.Appendf(nil, testSettings, attempts) }
 
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().String()
-}
-
 // testCluster is a cluster of keepers in this process. Each retains its addresses and its folder across restarts.
 type testCluster struct {
 	t       *testing.T
@@ -54,7 +44,7 @@
 	cluster := &testCluster{t: t, keepers: make([]*Keeper, size)}
 	var peers []Peer
 	for i := range size {
-		peers = append(peers, Peer{fmt.Sprintf("keeper/%d", i), freeAddress(t), freeAddress(t)})
+		peers = append(peers, Peer{fmt.Sprintf("keeper/%d", i), loopback.FreeAddress(t), loopback.FreeAddress(t)})
 	}
 	for i, p := range peers {
 		config := Default()
--- a/internal/relay/limited_process_rig_test.go
+++ b/internal/relay/limited_process_rig_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -18,6 +17,7 @@
 	"time"
 
 	"larchrouter/internal/discovery"
+	"larchrouter/internal/loopback"
 )
 
 // The smallest limits that the operators' page on terms names, with the most descriptors.
@@ -44,17 +44,6 @@
 	maxFiles    atomic.Int64 // bytes of the files in the state directory, at most
 }
 
-// freeAddress returns a loopback address that was free just now.
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().String()
-}
-
 // limitedConfig is the configuration of a relay at the smallest limits.
 func limitedConfig(t *testing.T, platform *fakePlatform, addr, admin string) string {
 	config := string(testConfig(t, platform))
@@ -65,13 +54,13 @@
 // startLimitedProcess starts the program at the smallest limits. configure, which may be nil, changes its configuration.
 func startLimitedProcess(t *testing.T, platform *fakePlatform, state string, configure func(string) string) *limitedProcess {
 	t.Helper()
-	return startLimitedProcessAt(t, platform, state, freeAddress(t), configure)
+	return startLimitedProcessAt(t, platform, state, loopback.FreeAddress(t), configure)
 }
 
 // startLimitedProcessAt starts it at an address, which a process of the same state directory may have.
 func startLimitedProcessAt(t *testing.T, platform *fakePlatform, state, addr string, configure func(string) string) *limitedProcess {
 	t.Helper()
-	p := &limitedProcess{addr: addr, admin: freeAddress(t), state: state, platform: platform, stop: make(chan struct{}), exited: make(chan struct{})}
+	p := &limitedProcess{addr: addr, admin: loopback.FreeAddress(t), state: state, platform: platform, stop: make(chan struct{}), exited: make(chan struct{})}
 	path, err := buildProgram()
 	if err != nil {
 		t.Fatal(err)
--- a/internal/relay/unread_log_test.go
+++ b/internal/relay/unread_log_test.go
@@ -11,7 +11,7 @@
 	"testing"
 	"time"
 
-	"net"
+	"larchrouter/internal/loopback"
 )
 
 // Guards against a relay that blocks when nobody reads its log: it has to start, accept messages and report their
@@ -29,12 +29,7 @@
 	defer writer.Close()
 	fillPipe(t, writer)
 	p := newFakePlatform(t, testEndpoint("s-1", "127.0.0.1:1", "taller"))
-	free, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	addr := free.Addr().String()
-	free.Close()
+	addr := loopback.FreeAddress(t)
 	config := filepath.Join(t.TempDir(), "config.json")
 	text := strings.Replace(string(testConfig(t, p)), "127.0.0.1:0", addr, 1)
 	if err := os.WriteFile(config, []byte(text), 0o600); err != nil {
