Window: forget what was served two seconds ago before it is read

What callers saw: after two seconds without a served message a destination with nothing pending could have up to twice what it served before that pending, beyond its share of a full window, once.

Cause: Window.Available called advance only through AvailableBytes, which it skips when nothing of the destination is pending; it read the loads of the seconds before without it.

--- a/internal/backlog/state/window.go
+++ b/internal/backlog/state/window.go
@@ -5,6 +5,7 @@
 // Available returns how many more messages of a destination may become pending. The bytes of pending messages count, those
 // of the next message do not.
 func (w *Window) Available(dest int, now time.Duration) int {
+	w.advance(now)
 	if w.pending[dest].Messages > 0 && w.AvailableBytes(dest, now) == 0 {
 		return 0
 	}
--- a/internal/backlog/state/window_test.go
+++ b/internal/backlog/state/window_test.go
@@ -66,6 +66,18 @@
 	}
 }
 
+// Guards against a destination with nothing pending that may have messages pending for what it served two seconds ago.
+func TestIdleDestinationKeepsNoOldAllowance(t *testing.T) {
+	window := Window{Capacity: Load{4, 1 << 20}, Alpha: 1}
+	for range 3 {
+		window.Admit(1, 10)
+		window.Remove(1, 10, true, 0)
+	}
+	if available := window.Available(1, 2*time.Second); available != 4 {
+		t.Fatalf("%d messages available in an empty window of 4, for a destination that served 3 two seconds ago", available)
+	}
+}
+
 // Guards against a limit that differs from its formula after any sequence of messages that enter and leave.
 func TestWindowEqualsFormula(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
