A relay that calls a unit seldom leaves an endpoint that fails

What callers saw: a destination with several endpoints that was out for 20 s (most calls failed) and came back cold got all that waited from relays that had been told, and went down again.

Cause: a relay with few calls prefers one endpoint, and a failure counted against that preference for at most 0.66 s, less than the time to its next call; in a slow start it did not count at all. It called the same endpoint again and again. The others, never tried, counted as working, so no failure counted against the unit, and the time to warm up ran on through the outage.

Change: such a relay avoids an endpoint that failed for four of its even intervals (the overload window at least, the time to warm up at most), and a failed endpoint costs more than others in a slow start, too. Two endpoints that fail with no answer in between are an outage already.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -38,6 +38,9 @@
 	// unsteadyHostCost is added to the cost of a host that just failed or is not healthy, in shares
 	// of the message's worth.
 	unsteadyHostCost = 0.02
+	// avoidedIntervals is the number of even intervals for which a relay that calls a unit seldom avoids a
+	// host that failed: the intervals of a slow start are longer by up to this.
+	avoidedIntervals = 4
 	checksPerAim     = 200 // checks without events within the shortest aim
 	// crowdedShare is the share of Settings.MaxPending above which the message of least worth is
 	// refused.
--- a/choice/health.go
+++ b/choice/health.go
@@ -25,8 +25,7 @@
 	u, d := h.unit, h.dest
 	h.failures++
 	h.failedAt = c.now
-	h.retryAt = c.now + min(c.settings.Rules.OverloadWindow/8<<min(h.failures, 3),
-		c.settings.Rules.OverloadWindow/3)
+	h.retryAt = c.now + c.avoidance(h)
 	if c.mayWork(u, d) {
 		return
 	}
@@ -42,6 +41,17 @@
 	}
 }
 
+// avoidance returns for how long other hosts are preferred to one that has just failed. It doubles with
+// each failure, up to a third of the overload window. A relay that calls the unit seldom needs longer: its
+// next call, in a slow start too, has to go to another host, or it learns nothing about the unit.
+func (c *Chooser) avoidance(h *host) time.Duration {
+	rules := c.settings.Rules
+	if c.seldomCalls(h.unit) {
+		return min(max(rules.OverloadWindow, avoidedIntervals*c.evenInterval(h.unit)), rules.WarmUp)
+	}
+	return min(rules.OverloadWindow/8<<min(h.failures, 3), rules.OverloadWindow/3)
+}
+
 // mayWork reports whether some host of a unit may work although others fail. A host that has not
 // failed proves nothing once several others have, and none has answered since.
 func (c *Chooser) mayWork(u *unit, d *dest) bool {
--- a/choice/pick.go
+++ b/choice/pick.go
@@ -94,7 +94,10 @@
 	}
 	finish := u.latencySec * float64(h.inFlight+1) / m.class.Aim.Seconds()
 	cost += max(0, finish-0.25) + finish/100
-	if h == m.lastHost || u.state != Healthy || h.failures > 0 {
+	if h == m.lastHost || h.failures > 0 {
+		cost += unsteadyHostCost
+	}
+	if u.state != Healthy {
 		cost += unsteadyHostCost
 	}
 	if c.now < h.retryAt {
