A slow start lasts an overload window longer than the time to warm up

What callers saw: a destination most of whose calls had failed for 4.6 to 17 s was pushed over 11 s after its return, as all relays let go what waited.

Cause: an answer in the last moments of such an outage begins the slow start of a relay, so it ends before the destination is warm, at all relays within a second.

Change: the slow start lasts an overload window longer, at the budget of a warm destination, so answers from up to a window before the return do no harm.

TestWarmUpNeedsAnswers set the beginning of its slow start by the old length; it sets it by the new one, and checks the same.

--- a/choice/health.go
+++ b/choice/health.go
@@ -180,13 +180,19 @@
 		c.spreadFirstCall(u)
 	case u.state == Recovering && !c.seldomCalls(u) && answer.sinceServed > c.settings.Rules.OverloadWindow:
 		u.stateSince = c.now // it may have been out since the answer before
-	case u.state == Recovering && c.now-u.stateSince >= c.settings.Rules.WarmUp:
+	case u.state == Recovering && c.now-u.stateSince >= c.slowStartSpan():
 		c.changeStateByAnswer(u, d, Healthy, ChangedByWarmUp, answer)
 		u.mayHaveRun, u.sawErrors = false, false
 		c.emit(Health{u.name, false, 0})
 	}
 }
 
+// slowStartSpan returns how long a slow start lasts: an overload window longer than the unit needs to warm
+// up, since the answer that begins it may have come just before the return.
+func (c *Chooser) slowStartSpan() time.Duration {
+	return c.settings.Rules.WarmUp + c.settings.Rules.OverloadWindow
+}
+
 // suspectSilent makes healthy units suspect that leave calls unanswered for longer than the
 // destination's silence limit. This needs no time-out, which may be long: that of an unsafe message
 // is its deadline.
--- a/choice/outage_test.go
+++ b/choice/outage_test.go
@@ -154,8 +154,8 @@
 func TestWarmUpNeedsAnswers(t *testing.T) {
 	for gap, want := range map[time.Duration]UnitState{2100 * ms: Recovering, 1500 * ms: Healthy} {
 		r := newHarness(t, settings(), ready("a", 1, 0, 0))
-		u, warmUp := r.chooser.hosts["a"].unit, r.chooser.settings.Rules.WarmUp
-		u.state, u.stateSince, u.lastServed = Recovering, r.now-warmUp, r.now-gap
+		u := r.chooser.hosts["a"].unit
+		u.state, u.stateSince, u.lastServed = Recovering, r.now-r.chooser.slowStartSpan(), r.now-gap
 		for _, s := range sends(r.step(arrival("m", 0))) {
 			r.step(r.result(s.ID, "a", Served))
 		}
@@ -164,3 +164,26 @@
 		}
 	}
 }
+
+// TestSlowStartOutlastsWarmUp guards against a fleet whose slow starts end together before the destination
+// is warm: most calls failed, and answers in the last moments of the outage had begun them.
+func TestSlowStartOutlastsWarmUp(t *testing.T) {
+	for _, seed := range []uint64{1474, 4735} {
+		p := randomColdFleet(seed)
+		if calls, told, bound, fell := p.play(t).firstFall(); p.kind != callsFail || fell && told > toldShare*calls {
+			t.Errorf("seed %d, %v: %.0f calls in a window, %.0f of them by relays that had been told, with %.1f tolerated",
+				seed, p.kind, calls, told, bound)
+		}
+	}
+	r := newHarness(t, settings(), ready("a", 1, 0, 0))
+	u, rules := r.chooser.hosts["a"].unit, r.chooser.settings.Rules
+	u.state, u.stateSince = Recovering, r.now-rules.WarmUp
+	for end := r.now + rules.OverloadWindow; r.now < end; r.now += 20 * ms {
+		if u.state != Recovering {
+			t.Fatalf("%v %v after the time to warm up", u.state, rules.OverloadWindow-(end-r.now))
+		}
+		for _, s := range sends(r.step(arrival(fmt.Sprint("m", r.now), 0))) {
+			r.step(r.result(s.ID, "a", Served))
+		}
+	}
+}
