--- a/choice/choice.go
+++ b/choice/choice.go
@@ -2,10 +2,11 @@
 
 // This file holds the tuning constants, Step, and updates of the endpoint list. The package's
 // interface is in api.go and events.go; plain state is in state.go and setup.go. Attempt time-outs
-// are computed in oracle.go; health, pacing and waits in health.go; admission and final answers in
-// answers.go; use of the call slots in turn.go; choice of message and endpoint, and ordering by
-// key, in pick.go; restored messages and outages in restore.go; manual changes by operators and the
-// budget of a cold destination in manual.go; one relay's share of a unit's capacity in fleet.go.
+// are computed in oracle.go; health and pacing in health.go; refusals in refusal.go; admission and
+// final answers in answers.go; use of the call slots in turn.go; choice of message and endpoint, and
+// ordering by key, in pick.go; restored messages and outages in restore.go; manual changes by
+// operators and the budget of a cold destination in manual.go; one relay's share of a unit's capacity
+// in fleet.go.
 
 import (
 	"slices"
--- a/choice/fleet.go
+++ b/choice/fleet.go
@@ -65,16 +65,6 @@
 	u.knownRate, u.hasReports = rate, true
 }
 
-// pauseDraining handles a refusal with neither a retry-after time nor a report, at a unit whose
-// answers carry reports. A refusal for a rate limit would carry a report; one by a draining
-// endpoint does not. The endpoint pauses for a random time, and the pace of its unit stays for the
-// endpoints that replace it.
-func (c *Chooser) pauseDraining(h *host) {
-	pause := max(c.settings.Rules.OverloadWindow/4, c.evenInterval(h.unit)).Seconds() * (0.5 + c.rand.Float64())
-	h.pauseUntil = c.now + time.Duration(pause*float64(time.Second))
-	h.unit.tokens++ // the call did not count against the limit
-}
-
 // fewCallsPerAim reports whether this relay's even share of a unit is less than four calls in the
 // shortest aim.
 func (c *Chooser) fewCallsPerAim(u *unit) bool { return c.evenInterval(u) > c.minAim/4 }
--- a/choice/health.go
+++ b/choice/health.go
@@ -7,7 +7,7 @@
 	"time"
 )
 
-// This file tracks the health of units, their pace and their waits.
+// This file tracks the health of units and their pace.
 
 // recordBadOutcome counts a failure or a refusal, and schedules the next trial of a suspect unit.
 func (c *Chooser) recordBadOutcome(u *unit) {
@@ -103,52 +103,6 @@
 	c.emit(Health{u.name, true, u.baseRate})
 }
 
-// recordRefusal handles a refusal. The unit is not called before its retry-after time; without one
-// this relay chooses a pause of its own and lowers the pace.
-func (c *Chooser) recordRefusal(u *unit, d *dest, retryAfter time.Duration) {
-	c.recordBadOutcome(u)
-	u.retryAfter = max(u.retryAfter, c.now+retryAfter)
-	u.pauseUntil = max(c.now, u.retryAfter)
-	if c.metered(u) {
-		c.slowMetered(u)
-	} else {
-		c.slowDown(u, d, retryAfter)
-	}
-	// Only refusals, for longer than a rate limit explains, mean that the destination is down.
-	window, longestWait := c.settings.Rules.OverloadWindow, 2*c.settings.Rules.OverloadWindow/3
-	if c.metered(u) || u.state == Recovering { // its retry-after times come from what is left of its limit
-		longestWait = window
-	}
-	if u.state != Suspect && (retryAfter > longestWait || u.badStreak > 6 && c.now-u.lastServed >= window) {
-		c.markSuspect(u, d, ChangedByRefusals)
-	}
-}
-
-// slowDown pauses a unit that sent no retry-after time, and lowers the pace.
-func (c *Chooser) slowDown(u *unit, d *dest, retryAfter time.Duration) {
-	if retryAfter <= 0 || c.seldomCalls(u) {
-		u.pauseUntil += c.randomPause(u, d, u.badStreak-1)
-	}
-	if d.refusalStreak > 0 {
-		*d.retrySuccess -= *d.retrySuccess / 16
-	}
-	if d.refusalStreak++; d.refusalStreak >= len(d.units) && c.seldomCalls(u) {
-		d.pauseUntil = c.now + 2*c.randomPause(u, d, d.refusalStreak-len(d.units))
-	}
-	if c.seldomCalls(u) && u.knownRate > 0 { // one call at a time, at a pace that all relays can keep
-		u.pace, u.tokens = min(u.pace, 1/c.evenInterval(u).Seconds()), min(u.tokens, 0)
-	}
-	if c.now-u.paceCutAt >= time.Second && !c.seldomCalls(u) {
-		// Counted over at least the relay's even interval: over less, the refused call alone would
-		// look like more than the relay's share.
-		span := min(max(time.Second, c.evenInterval(u)), c.settings.Rules.WarmUp)
-		pace := min(cmp.Or(u.pace, math.Inf(1)), c.countWithin(u.recentSends, span)/span.Seconds())
-		u.pace = max(pace*paceCut, 1/c.settings.Rules.WarmUp.Seconds(),
-			u.knownRate/float64(c.settings.Fleet)/2)
-		u.paceCutAt, u.tokens = c.now, min(u.tokens, 0)
-	}
-}
-
 // recordServed handles a served attempt: it updates latency and rate, and moves a suspect unit to
 // recovering, or to healthy after a short outage.
 func (c *Chooser) recordServed(u *unit, d *dest, took time.Duration) {
