Two refusals without a report begin a slow start of a destination that serves nothing

What callers saw: a destination that had been shut (it refused all calls) and came back cold got what all relays had waiting and went down.

Cause: refusals began an outage if a wait of over 1.33 s was told, or seven came in a row. In a fleet each relay makes few calls to a destination, and fewer while it is refused, so most saw one to six. Where served calls carry reports, refusals without report and wait were those of a draining endpoint and counted as none.

Change: after two refusals without a load report and an overload window in which nothing was served, the relay gives the destination a slow start, which begins anew at the first answer, and records the outage for a restart. Refusals with a report are those of a rate limit, as before. With several endpoints two have to refuse. If the endpoints that refused are replaced in the list, they were draining, and the slow start ends.

--- a/choice/answers.go
+++ b/choice/answers.go
@@ -57,11 +57,7 @@
 		h.failures, d.refusalStreak = 0, 0
 		c.recordServed(u, d, e.Took)
 	case Refused:
-		if u.hasReports && len(e.Report) == 0 && e.RetryAfter <= 0 && c.fewCallsPerAim(u) {
-			c.pauseDraining(h)
-		} else {
-			c.recordRefusal(u, d, e.RetryAfter)
-		}
+		c.handleRefusal(h, e)
 	case Error, Reset:
 		if !e.StaleConn {
 			c.recordFailure(h, e.Outcome)
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -133,6 +133,7 @@
 		})
 		for _, u := range d.units {
 			c.renameUnit(u, d)
+			c.excuseReplaced(u, d)
 		}
 		if len(d.hosts) == 0 && d.idle() {
 			delete(c.dests, d.id)
--- a/choice/coldfleet_rig_test.go
+++ b/choice/coldfleet_rig_test.go
@@ -29,6 +29,18 @@
 		"connections late", "calls fail", "calls refused"}[k]
 }
 
+// waitKind is what a destination that refuses all calls tells about when to call again.
+type waitKind int
+
+const (
+	waitsOrNone waitKind = iota // half of the refusals tell a wait that ends in the outage
+	noWaits
+	shortWaits // each tells one of 0.2 to 1 s
+	waitKindCount
+)
+
+func (k waitKind) String() string { return [...]string{"some waits", "no waits", "short waits"}[k] }
+
 // coldFleet is a fleet of Choosers whose destination has one outage and returns cold.
 type coldFleet struct {
 	relays, endpoints, workers int
@@ -42,6 +54,8 @@
 	restartAfter               time.Duration // time of the restarts after the start of the outage
 	effect                     Effect
 	unlisted                   bool // the list has no rates
+	reports                    bool // served calls report the destination's rate
+	waits                      waitKind
 	seed                       uint64
 }
 
@@ -62,7 +76,7 @@
 	s := settings()
 	s.Index, s.Fleet, s.Workers, s.MaxPending, s.MaxAttempts, s.Tick = index, p.relays, p.workers, 0, 8, 5*ms
 	s.Kinds, s.WorthHalves = []Kind{{PerCall: 1}}, true
-	s.RatesListed = !p.unlisted
+	s.RatesListed, s.ReportLeftIndex = !p.unlisted, -1
 	s.Rules.OverloadWindow, s.Rules.WarmUp, s.Rules.ColdShare, s.Rules.OverloadFactor = 2*time.Second,
 		12*time.Second, 0.29, 1.5
 	s.Classes = []Class{{Name: "order-msg", Aim: 3 * time.Second, Deadline: coldFleetDeadline, Worth: 1,
--- a/choice/coldfleet_test.go
+++ b/choice/coldfleet_test.go
@@ -39,6 +39,9 @@
 	if result.Took >= a.Timeout {
 		result.Took, result.Outcome = a.Timeout, Timeout
 	}
+	if s.reports && result.Outcome == Served {
+		result.Report = []float64{s.rate}
+	}
 	result.Done = result.Outcome == Served
 	if result.Done {
 		delete(relay.deadlines, a.ID)
@@ -70,7 +73,7 @@
 		}
 		return result
 	case callsRefused:
-		result.RetryAfter = time.Duration(s.random.IntN(2)) * s.delay(s.returnedAt-at)
+		result.RetryAfter = s.wait(at)
 		return end(Refused, at+30*ms)
 	}
 	if sentAt >= s.outageAt {
@@ -79,6 +82,17 @@
 	return end(Reset, at+30*ms)
 }
 
+// wait returns what a refusal tells about when to call again.
+func (s *coldFleetPlay) wait(at time.Duration) time.Duration {
+	switch s.waits {
+	case noWaits:
+		return 0
+	case shortWaits:
+		return 200*ms + s.delay(800*ms)
+	}
+	return time.Duration(s.random.IntN(2)) * s.delay(s.returnedAt-at)
+}
+
 // allowed returns the calls that the destination may get in a window that ends at a time.
 func (s *coldFleetPlay) allowed(at time.Duration) float64 {
 	rules := s.settings(0).Rules
@@ -133,6 +147,27 @@
 	}
 }
 
+// TestColdFleetAfterDestinationWasShut is the same for destinations that refuse all calls, which a rate limit
+// does too: with any wait, and with or without listed and reported rates.
+func TestColdFleetAfterDestinationWasShut(t *testing.T) {
+	plays := *coldSeeds
+	if testing.Short() {
+		plays /= 10
+	}
+	for seed := *coldFirst; seed < *coldFirst+plays; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			p := randomColdFleet(seed)
+			r := rand.New(rand.NewPCG(seed, 0x5407))
+			p.kind, p.waits = callsRefused, waitKind(r.IntN(int(waitKindCount)))
+			p.unlisted, p.reports = r.IntN(4) == 0, r.IntN(2) == 0
+			if calls, told, bound, fell := p.play(t).firstFall(); fell && told > toldShare*calls {
+				t.Errorf("%.0f calls in a window, %.0f of them by relays that had been told, with %.1f tolerated; %v: %v",
+					calls, told, bound, p.waits, p)
+			}
+		})
+	}
+}
+
 func randomColdFleet(seed uint64) coldFleet {
 	r := rand.New(rand.NewPCG(seed, 0xf1ee7))
 	p := coldFleet{relays: oneOf(r, 1, 2, 3, 3, 4, 6, 12, 20, 30, 60), endpoints: 1 + r.IntN(4),
--- a/choice/health.go
+++ b/choice/health.go
@@ -118,10 +118,13 @@
 		return // sent before the outage, or before a wait longer than a rate limit's: no sign of recovery
 	}
 	u.wellUntil = c.now
-	u.badStreak = 0
+	firstServed := u.slowByRefusals
+	u.badStreak, u.refusals, u.slowByRefusals = 0, 0, false
 	u.servedStreak++
 	u.recordOutcome(false)
 	switch {
+	case firstServed:
+		u.stateSince = c.now
 	case u.state == Healthy && u.recentFailures == 0:
 		u.mayHaveRun, u.sawErrors = false, false
 	case u.state == Suspect && shortOutage:
--- a/choice/refusal.go
+++ b/choice/refusal.go
@@ -8,8 +8,60 @@
 
 // This file handles refusals: of a rate limit, of an endpoint that drains, and of a unit that is down.
 
-// recordRefusal handles a refusal. The unit is not called before its retry-after time; without one
-// this relay chooses a pause of its own and lowers the pace.
+// slowStartRefusals is how many refusals in a row begin a slow start. A rate limit may refuse one call
+// and more for a whole overload window, but then the relays send less.
+const slowStartRefusals = 2
+
+// handleRefusal handles a refusal by a host.
+func (c *Chooser) handleRefusal(h *host, e Result) {
+	u := h.unit
+	if len(e.Report) == 0 { // with a report it is that of a rate limit
+		h.refusedAt = c.now
+		u.refusals++
+	}
+	if u.hasReports && len(e.Report) == 0 && e.RetryAfter <= 0 && c.fewCallsPerAim(u) {
+		c.pauseDraining(h)
+	} else {
+		c.recordRefusal(u, h.dest, e.RetryAfter)
+	}
+	if u.state == Healthy && c.refusesAll(u, h.dest) {
+		u.baseRate = max(u.servedRate, 1/c.settings.Rules.WarmUp.Seconds())
+		c.changeState(u, h.dest, Recovering, ChangedByRefusals)
+		u.slowByRefusals = true
+		c.emit(Health{u.name, true, u.baseRate})
+	}
+}
+
+// refusesAll reports whether a unit may be down although it answers: for an overload window it has served
+// nothing and refused calls, at several hosts if it has them.
+func (c *Chooser) refusesAll(u *unit, d *dest) bool {
+	if u.refusals < slowStartRefusals || c.now-u.lastServed < c.settings.Rules.OverloadWindow {
+		return false
+	}
+	refusing, usable := 0, 0
+	for _, h := range d.hosts {
+		if h.unit != u || !c.usable(h) {
+			continue
+		}
+		usable++
+		if h.refusedAt > u.lastServed {
+			refusing++
+		}
+	}
+	return refusing > 0 && refusing >= min(usable, outageFailures)
+}
+
+// excuseReplaced ends a slow start that refusals began, if the endpoints that refused are no longer in use:
+// they were draining.
+func (c *Chooser) excuseReplaced(u *unit, d *dest) {
+	if u.slowByRefusals && !c.refusesAll(u, d) {
+		c.changeState(u, d, Healthy, ChangedByList)
+		c.emit(Health{u.name, false, 0})
+	}
+}
+
+// recordRefusal handles a refusal that may be that of a rate limit. The unit is not called before its
+// retry-after time; without one this relay chooses a pause of its own and lowers the pace.
 func (c *Chooser) recordRefusal(u *unit, d *dest, retryAfter time.Duration) {
 	c.recordBadOutcome(u)
 	u.retryAfter = max(u.retryAfter, c.now+retryAfter)
--- a/choice/state.go
+++ b/choice/state.go
@@ -57,6 +57,7 @@
 	failedAt    time.Duration   // time of the last failure
 	retryAt     time.Duration   // earliest time of use at no extra cost after failures
 	pauseUntil  time.Duration   // no calls before this time, after a refusal that suggests that it drains
+	refusedAt   time.Duration   // time of the last refusal without a load report
 	recentSends []time.Duration // send times while it is cold after operators enabled it
 }
 
@@ -79,6 +80,8 @@
 	trialAt        time.Duration // time of the next trial
 	failedTrials   int           // in a row
 	badStreak      int           // failures and refusals since the last attempt served
+	refusals       int           // refusals without a load report since the last attempt served
+	slowByRefusals bool          // in a slow start that refusals began, and nothing was served since
 	connRefusedAt  time.Duration // when it last refused a connection
 	lastServed     time.Duration // time of the last attempt served; initially createdAt
 	wellUntil      time.Duration // time up to which it is not known to have been out
--- a/choice/unitstate.go
+++ b/choice/unitstate.go
@@ -39,6 +39,7 @@
 	ChangedByRestart               // an earlier process recorded an outage without its end
 	ChangedByAnswer                // an answer to a trial
 	ChangedByWarmUp                // the time to warm up is over
+	ChangedByList                  // the endpoints that refused calls were replaced
 )
 
 // String returns the reason as logs name it.
@@ -56,6 +57,8 @@
 		return "answered"
 	case ChangedByWarmUp:
 		return "warm"
+	case ChangedByList:
+		return "endpoints replaced"
 	}
 	return fmt.Sprintf("ChangeReason(%d)", int(r))
 }
@@ -109,6 +112,6 @@
 	if len(u.calls) > 0 {
 		change.OldestCall = c.now - u.calls[0].sentAt
 	}
-	u.state, u.stateSince = to, c.now
+	u.state, u.stateSince, u.slowByRefusals = to, c.now, false
 	c.emit(change)
 }
