--- a/internal/lab/coldreturn_test.go
+++ b/internal/lab/coldreturn_test.go
@@ -58,18 +58,29 @@
 		kind   string
 		relays int
 	}{{"hang", 3}, {"hang", 6}, {"vanish", 3}, {"outage", 6}} {
-		for seed := *firstSeed; seed < *firstSeed+uint64(*seeds); seed++ {
-			t.Run(fmt.Sprintf("%s, %d relays, %d", c.kind, c.relays, seed), func(t *testing.T) {
-				t.Parallel()
-				r := playScenario(t, parseScenario(t, coldReturnScenario(c.kind, c.relays, seed)), o)
-				if r.Report.Broken[rules.Cold] > 0 || len(r.Failures) > 0 {
-					logResult(t, r)
-					t.Errorf("%d destinations were pushed over while they were cold", r.Report.Broken[rules.Cold])
-				}
-				if r.Report.Checked[rules.Cold] == 0 || r.Report.InTime == 0 {
-					t.Errorf("no destination came back cold, or nothing was served: %s", r.Report)
-				}
-			})
-		}
+		playColdReturns(t, o, c.kind, c.relays)
+	}
+}
+
+// Guards against relays that take a destination which refuses all calls for one at its rate limit, and push it over when it is
+// back and cold.
+func TestShutDestinationIsNotOverloadedOnReturn(t *testing.T) {
+	playColdReturns(t, buildPrograms(t), "shut", 6)
+}
+
+// playColdReturns plays a cold return with the seeds of the command line, and checks the rule on cold destinations.
+func playColdReturns(t *testing.T, o Options, kind string, relays int) {
+	for seed := *firstSeed; seed < *firstSeed+uint64(*seeds); seed++ {
+		t.Run(fmt.Sprintf("%s, %d relays, %d", kind, relays, seed), func(t *testing.T) {
+			t.Parallel()
+			r := playScenario(t, parseScenario(t, coldReturnScenario(kind, relays, seed)), o)
+			if r.Report.Broken[rules.Cold] > 0 || len(r.Failures) > 0 {
+				logResult(t, r)
+				t.Errorf("%d destinations were pushed over while they were cold", r.Report.Broken[rules.Cold])
+			}
+			if r.Report.Checked[rules.Cold] == 0 || r.Report.InTime == 0 {
+				t.Errorf("no destination came back cold, or nothing was served: %s", r.Report)
+			}
+		})
 	}
 }
