Plays of cold fleets: one check in place of six copies

Six tests of fleets repeated the same check and message with small differences; wantNoFall and wantNoFallAfter are called now. What fails a test is the same, and the message names kind and waits in all.

--- a/choice/coldfleet_test.go
+++ b/choice/coldfleet_test.go
@@ -128,6 +128,24 @@
 // outage, for the rule to be broken.
 const toldShare = 2.0 / 3
 
+// wantNoFall plays a fleet, and fails the test if it breaks the rule on cold destinations.
+func (p coldFleet) wantNoFall(t *testing.T) {
+	t.Helper()
+	if calls, told, bound, fell := p.play(t).firstFall(); fell && told > toldShare*calls {
+		t.Errorf("%.0f calls in a window, %.0f of them by relays that had been told, with %.1f tolerated; %v, %v: %v",
+			calls, told, bound, p.kind, p.waits, p)
+	}
+}
+
+// wantNoFallAfter is wantNoFall for a play whose outage has to be of a kind.
+func (p coldFleet) wantNoFallAfter(t *testing.T, kind outageKind) {
+	t.Helper()
+	if p.kind != kind {
+		t.Errorf("seed %d has an outage of kind %v, want %v", p.seed, p.kind, kind)
+	}
+	p.wantNoFall(t)
+}
+
 // TestColdFleetAfterAnyOutage guards against fleets that together push over a destination which comes back cold, after
 // outages of every kind and length, with restarts at any time.
 func TestColdFleetAfterAnyOutage(t *testing.T) {
@@ -139,10 +157,7 @@
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			p := randomColdFleet(seed)
 			p.unlisted = *unlisted
-			if calls, told, bound, fell := p.play(t).firstFall(); fell && told > toldShare*calls {
-				t.Errorf("%.0f calls in a window, %.0f of them by relays that had been told, with %.1f tolerated; %v: %v",
-					calls, told, bound, p.kind, p)
-			}
+			p.wantNoFall(t)
 		})
 	}
 }
@@ -160,10 +175,7 @@
 			r := rand.New(rand.NewPCG(seed, 0x5407))
 			p.kind, p.waits = callsRefused, waitKind(r.IntN(int(waitKindCount)))
 			p.unlisted, p.reports = r.IntN(4) == 0, r.IntN(2) == 0
-			if calls, told, bound, fell := p.play(t).firstFall(); fell && told > toldShare*calls {
-				t.Errorf("%.0f calls in a window, %.0f of them by relays that had been told, with %.1f tolerated; %v: %v",
-					calls, told, bound, p.waits, p)
-			}
+			p.wantNoFall(t)
 		})
 	}
 }
@@ -186,10 +198,6 @@
 // calls that waited through the outage are answered then, at all relays at once.
 func TestRelaysAnsweredTogetherDoNotCallTogether(t *testing.T) {
 	for _, seed := range []uint64{500, 1697, 1814} {
-		p := randomColdFleet(seed)
-		if calls, told, bound, fell := p.play(t).firstFall(); p.kind != callsAnsweredLate || fell && told > toldShare*calls {
-			t.Errorf("seed %d, %v: %.0f calls in a window, %.0f of them by relays that had been told, with %.1f tolerated",
-				seed, p.kind, calls, told, bound)
-		}
+		randomColdFleet(seed).wantNoFallAfter(t, callsAnsweredLate)
 	}
 }
--- a/choice/failinghost_test.go
+++ b/choice/failinghost_test.go
@@ -58,10 +58,6 @@
 // TestFleetsOfSeldomCallersFindOutages checks the same by the calls of whole fleets.
 func TestFleetsOfSeldomCallersFindOutages(t *testing.T) {
 	for _, seed := range []uint64{1341, 1620, 2336, 3721} {
-		p := randomColdFleet(seed)
-		if calls, told, bound, fell := p.play(t).firstFall(); p.kind != callsFail || fell && told > toldShare*calls {
-			t.Errorf("seed %d, %v: %.0f calls in a window, %.0f of them by relays that had been told, with %.1f tolerated",
-				seed, p.kind, calls, told, bound)
-		}
+		randomColdFleet(seed).wantNoFallAfter(t, callsFail)
 	}
 }
--- a/choice/outage_test.go
+++ b/choice/outage_test.go
@@ -169,11 +169,7 @@
 // is warm: most calls failed, and answers in the last moments of the outage had begun them.
 func TestSlowStartOutlastsWarmUp(t *testing.T) {
 	for _, seed := range []uint64{1474, 4735} {
-		p := randomColdFleet(seed)
-		if calls, told, bound, fell := p.play(t).firstFall(); p.kind != callsFail || fell && told > toldShare*calls {
-			t.Errorf("seed %d, %v: %.0f calls in a window, %.0f of them by relays that had been told, with %.1f tolerated",
-				seed, p.kind, calls, told, bound)
-		}
+		randomColdFleet(seed).wantNoFallAfter(t, callsFail)
 	}
 	r := newHarness(t, settings(), ready("a", 1, 0, 0))
 	u, rules := r.chooser.hosts["a"].unit, r.chooser.settings.Rules
--- a/choice/refusal_test.go
+++ b/choice/refusal_test.go
@@ -39,10 +39,7 @@
 	for _, seed := range []uint64{12, 47, 294, 1347, 1438} {
 		p := randomColdFleet(seed)
 		p.unlisted = true
-		if calls, told, bound, fell := p.play(t).firstFall(); p.kind != callsRefused || fell && told > toldShare*calls {
-			t.Errorf("seed %d, %v: %.0f calls in a window, %.0f of them by relays that had been told, with %.1f tolerated",
-				seed, p.kind, calls, told, bound)
-		}
+		p.wantNoFallAfter(t, callsRefused)
 	}
 }
 
