lab: say which refusals the cold return of a shut destination has

The comment named a cause that this test does not show: the lab's shut destinations tell the rest of the outage in most refusals, which relays took for an outage before, too. A comment only; no check changed.

--- a/internal/lab/coldreturn_test.go
+++ b/internal/lab/coldreturn_test.go
@@ -62,8 +62,8 @@
 	}
 }
 
-// Guards against relays that take a destination which refuses all calls for one at its rate limit, and push it over when it is
-// back and cold.
+// Guards against relays that push over a destination that refused all calls, when it is back and cold. Most refusals tell a wait
+// to the end of the outage; choice's TestColdFleetAfterDestinationWasShut has those with short waits and none.
 func TestShutDestinationIsNotOverloadedOnReturn(t *testing.T) {
 	playColdReturns(t, buildPrograms(t), "shut", 6)
 }
